--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,2 @@
+//! Stub.
+fn main() {}
--- /dev/null
+++ b/crates/core/src/call/core.rs
@@ -0,0 +1,565 @@
+//! The call core.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::call::CallKind;
+use crate::call::CallPlan;
+use crate::call::Failure;
+use crate::call::Input;
+use crate::call::Outcome;
+use crate::call::Output;
+use crate::gate::Refusal;
+use crate::ids::AttemptId;
+use crate::ids::RunnerId;
+use crate::ledger::Answer;
+use crate::ledger::LedgerReply;
+use crate::router::AttemptResult;
+use crate::router::Rejection;
+use crate::router::RetryRule;
+
+/// Pause before a claim is sent to the next owner.
+const CLAIM_PAUSE: Duration = Duration::from_millis(50);
+
+#[derive(Clone, Debug, PartialEq)]
+enum State {
+    New,
+    Claiming,
+    Queued,
+    Running(Run),
+    Closed,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Run {
+    attempt: AttemptId,
+    runner: RunnerId,
+    started: Instant,
+}
+
+/// One request on its way through an entry.
+#[derive(Clone, Debug)]
+pub struct Call {
+    plan: CallPlan,
+    state: State,
+    /// Whether any attempt so far may have run.
+    may_have_run: bool,
+    /// Whether the ledger granted the claim.
+    claimed: bool,
+    stream_begun: bool,
+    /// Events that the caller has, all in order and without gaps.
+    relayed: u64,
+    /// Whether the caller has its final answer; only the ledger's is missing.
+    caller_done: bool,
+}
+
+impl Call {
+    /// Returns a call that waits for `Input::Begin`.
+    pub fn new(plan: CallPlan) -> Self {
+        Self {
+            plan,
+            state: State::New,
+            may_have_run: false,
+            claimed: false,
+            stream_begun: false,
+            relayed: 0,
+            caller_done: false,
+        }
+    }
+
+    /// Takes an input and appends what has to be done.
+    pub fn handle(&mut self, now: Instant, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Begin => self.begin(out),
+            Input::Ledger(reply) => self.ledger(reply, out),
+            Input::Dispatched {
+                attempt,
+                runner,
+                exclusive,
+            } => self.dispatched(now, attempt, runner, exclusive, out),
+            Input::Rejected(rejection) => self.rejected(rejection, out),
+            Input::Refused(attempt, refusal) => self.refused(attempt, refusal, out),
+            Input::Head(attempt) => self.head(attempt, out),
+            Input::Event(attempt, position) => self.event(attempt, position, out),
+            Input::EndOfStream(attempt, events) => self.end_of_stream(now, attempt, events, out),
+            Input::Answered(attempt, answer) => self.answered(now, attempt, answer, out),
+            Input::EndpointFailed(attempt) => self.failed(attempt, out),
+            Input::LinkLost { attempt, sent } => self.link_lost(attempt, sent, out),
+            Input::Stalled(attempt) => self.stalled(attempt, out),
+            Input::Deadline => self.deadline(out),
+            Input::CallerGone => self.caller_gone(out),
+        }
+    }
+
+    /// Returns whether the call is over.
+    pub fn is_closed(&self) -> bool {
+        self.state == State::Closed
+    }
+
+    /// Returns the current attempt.
+    pub fn attempt(&self) -> Option<AttemptId> {
+        match &self.state {
+            State::Running(run) => Some(run.attempt),
+            _ => None,
+        }
+    }
+
+    /// Returns whether the caller has its final answer.
+    pub fn is_caller_done(&self) -> bool {
+        self.caller_done
+    }
+
+    fn begin(&mut self, out: &mut Vec<Output>) {
+        if self.state != State::New {
+            return;
+        }
+        if self.plan.keyed {
+            self.state = State::Claiming;
+            out.push(Output::Claim(Duration::ZERO));
+        } else {
+            self.queue(out);
+        }
+    }
+
+    fn queue(&mut self, out: &mut Vec<Output>) {
+        self.state = State::Queued;
+        out.push(Output::Arrive);
+    }
+
+    fn ledger(&mut self, reply: LedgerReply, out: &mut Vec<Output>) {
+        if self.state != State::Claiming {
+            return;
+        }
+        match reply {
+            LedgerReply::Granted(_) => {
+                self.claimed = true;
+                self.queue(out);
+            }
+            LedgerReply::Done(answer) => {
+                let replayed = true;
+                out.push(Output::Answer { answer, replayed });
+                self.close(out);
+            }
+            LedgerReply::NotOwner => out.push(Output::Claim(CLAIM_PAUSE)),
+            LedgerReply::InProgress => self.fail(Failure::InProgress, Outcome::Unknown, out),
+            LedgerReply::OtherBody => self.fail(Failure::KeyReused, Outcome::NotRun, out),
+            LedgerReply::Full => self.fail(Failure::LedgerFull, Outcome::NotRun, out),
+            LedgerReply::Unavailable | LedgerReply::Recorded | LedgerReply::Absent => {
+                self.fail_unclaimed(out);
+            }
+        }
+    }
+
+    /// The claim may still take effect; nothing runs under it.
+    fn fail_unclaimed(&mut self, out: &mut Vec<Output>) {
+        out.push(Output::Release);
+        self.fail(Failure::LedgerUnavailable, Outcome::NotRun, out);
+    }
+
+    fn dispatched(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        runner: RunnerId,
+        exclusive: bool,
+        out: &mut Vec<Output>,
+    ) {
+        if self.state != State::Queued {
+            // The caller is gone: nothing was sent.
+            out.push(Output::Ended(attempt, AttemptResult::Cancelled));
+            return;
+        }
+        self.state = State::Running(Run {
+            attempt,
+            runner: runner.clone(),
+            started: now,
+        });
+        out.push(Output::Send {
+            attempt,
+            runner,
+            exclusive,
+            resume_from: self.relayed,
+        });
+    }
+
+    fn rejected(&mut self, rejection: Rejection, out: &mut Vec<Output>) {
+        if self.state != State::Queued {
+            return;
+        }
+        let failure = match rejection {
+            Rejection::Overloaded { retry_after } => Failure::Overloaded { retry_after },
+            Rejection::Deadline { retry_after } => Failure::DeadlineBeforeStart { retry_after },
+            Rejection::NoRunner { retry_after } => Failure::NoRunner { retry_after },
+            Rejection::Blocked { retry_after } => Failure::Blocked { retry_after },
+            Rejection::NotRun => Failure::Refused,
+            Rejection::Unknown => Failure::CutOff,
+        };
+        self.give_up(failure, out);
+    }
+
+    /// Ends the call without an attempt under way.
+    fn give_up(&mut self, failure: Failure, out: &mut Vec<Output>) {
+        let outcome = if self.may_have_run {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
+        if self.claimed && !self.may_have_run {
+            out.push(Output::Release);
+        }
+        self.fail(failure, outcome, out);
+    }
+
+    fn current(&self, attempt: AttemptId) -> Option<Run> {
+        match &self.state {
+            State::Running(run) if run.attempt == attempt => Some(run.clone()),
+            _ => None,
+        }
+    }
+
+    fn refused(&mut self, attempt: AttemptId, refusal: Refusal, out: &mut Vec<Output>) {
+        if self.current(attempt).is_none() {
+            out.push(Output::CountStray);
+            return;
+        }
+        let result = match refusal {
+            Refusal::Busy => AttemptResult::Busy,
+            Refusal::Leaving
+            | Refusal::EndpointDown
+            | Refusal::Late
+            | Refusal::OtherIncarnation
+            | Refusal::Seen => AttemptResult::NotRun,
+        };
+        self.again(attempt, result, out);
+    }
+
+    /// Hands an ended attempt to the router, which may choose another runner.
+    fn again(&mut self, attempt: AttemptId, result: AttemptResult, out: &mut Vec<Output>) {
+        if self.caller_done {
+            out.push(Output::Ended(attempt, AttemptResult::Cancelled));
+            if self.claimed && !self.may_have_run {
+                out.push(Output::Release);
+            }
+            self.close(out);
+            return;
+        }
+        self.state = State::Queued;
+        out.push(Output::Ended(attempt, result));
+    }
+
+    fn head(&mut self, attempt: AttemptId, out: &mut Vec<Output>) {
+        if self.current(attempt).is_none() {
+            out.push(Output::CountStray);
+            return;
+        }
+        self.may_have_run = true;
+        if !self.stream_begun {
+            self.stream_begun = true;
+            out.push(Output::BeginStream);
+        }
+    }
+
+    fn event(&mut self, attempt: AttemptId, position: u64, out: &mut Vec<Output>) {
+        let Some(run) = self.current(attempt) else {
+            out.push(Output::CountStray);
+            return;
+        };
+        if position < self.relayed {
+            out.push(Output::CountStray);
+            return;
+        }
+        if position > self.relayed {
+            out.push(Output::Cancel(attempt, run.runner));
+            self.failed(attempt, out);
+            return;
+        }
+        self.may_have_run = true;
+        self.relayed += 1;
+        out.push(Output::Relay(position));
+    }
+
+    fn end_of_stream(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        events: u64,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(run) = self.current(attempt) else {
+            out.push(Output::CountStray);
+            return;
+        };
+        if events != self.relayed {
+            self.failed(attempt, out);
+            return;
+        }
+        let took = now.saturating_duration_since(run.started);
+        out.push(Output::Ended(attempt, AttemptResult::Answered { took }));
+        out.push(Output::EndStream);
+        self.close(out);
+    }
+
+    fn answered(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        answer: Answer,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(run) = self.current(attempt) else {
+            out.push(Output::CountStray);
+            return;
+        };
+        self.may_have_run = true;
+        let took = now.saturating_duration_since(run.started);
+        out.push(Output::Ended(attempt, AttemptResult::Answered { took }));
+        if self.claimed {
+            out.push(Output::Settle(answer.clone()));
+        }
+        if !self.caller_done {
+            let replayed = false;
+            out.push(Output::Answer { answer, replayed });
+        }
+        self.close(out);
+    }
+
+    fn failed(&mut self, attempt: AttemptId, out: &mut Vec<Output>) {
+        if self.current(attempt).is_none() {
+            out.push(Output::CountStray);
+            return;
+        }
+        self.may_have_run = true;
+        self.again(attempt, AttemptResult::Unknown, out);
+    }
+
+    fn link_lost(&mut self, attempt: AttemptId, sent: bool, out: &mut Vec<Output>) {
+        let Some(run) = self.current(attempt) else {
+            out.push(Output::CountStray);
+            return;
+        };
+        if !sent {
+            self.again(attempt, AttemptResult::NotRun, out);
+            return;
+        }
+        if self.plan.retry == RetryRule::Idempotent {
+            out.push(Output::Cancel(attempt, run.runner));
+            self.failed(attempt, out);
+        } else {
+            out.push(Output::Recover(attempt, run.runner));
+        }
+    }
+
+    fn stalled(&mut self, attempt: AttemptId, out: &mut Vec<Output>) {
+        // Only a stream has a pace; a whole answer may take until its deadline.
+        if self.plan.kind == CallKind::Stream {
+            self.link_lost(attempt, true, out);
+        }
+    }
+
+    fn deadline(&mut self, out: &mut Vec<Output>) {
+        match &self.state {
+            State::New | State::Closed => {}
+            State::Claiming => self.fail_unclaimed(out),
+            State::Queued => {
+                out.push(Output::Withdraw);
+                let retry_after = Duration::from_secs(1);
+                self.give_up(Failure::DeadlineBeforeStart { retry_after }, out);
+            }
+            State::Running(run) => {
+                let run = run.clone();
+                if self.caller_done {
+                    out.push(Output::Ended(run.attempt, AttemptResult::Cancelled));
+                    self.close(out);
+                    return;
+                }
+                self.leave_running(&run, out);
+                out.push(Output::Fail(
+                    Failure::DeadlineWhileRunning,
+                    Outcome::Unknown,
+                ));
+            }
+        }
+    }
+
+    fn caller_gone(&mut self, out: &mut Vec<Output>) {
+        match &self.state {
+            State::New | State::Closed => {}
+            State::Claiming => {
+                out.push(Output::Release);
+                self.close(out);
+            }
+            State::Queued => {
+                out.push(Output::Withdraw);
+                if self.claimed && !self.may_have_run {
+                    out.push(Output::Release);
+                }
+                self.close(out);
+            }
+            State::Running(run) => {
+                let run = run.clone();
+                self.leave_running(&run, out);
+            }
+        }
+    }
+
+    /// Lets a keyed attempt finish so that its answer is recorded; stops others.
+    fn leave_running(&mut self, run: &Run, out: &mut Vec<Output>) {
+        self.caller_done = true;
+        if self.claimed {
+            return;
+        }
+        out.push(Output::Cancel(run.attempt, run.runner.clone()));
+        out.push(Output::Ended(run.attempt, AttemptResult::Cancelled));
+        self.close(out);
+    }
+
+    fn fail(&mut self, failure: Failure, outcome: Outcome, out: &mut Vec<Output>) {
+        out.push(Output::Fail(failure, outcome));
+        self.close(out);
+    }
+
+    fn close(&mut self, out: &mut Vec<Output>) {
+        self.state = State::Closed;
+        self.caller_done = true;
+        out.push(Output::Close);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+    use std::time::Instant;
+
+    use bytes::Bytes;
+
+    use super::Call;
+    use crate::call::CallKind;
+    use crate::call::CallPlan;
+    use crate::call::Failure;
+    use crate::call::Input;
+    use crate::call::Outcome;
+    use crate::call::Output;
+    use crate::gate::Refusal;
+    use crate::ids::AttemptId;
+    use crate::ids::Term;
+    use crate::ledger::Answer;
+    use crate::ledger::LedgerReply;
+    use crate::router::Rejection;
+    use crate::router::RetryRule;
+
+    const ATTEMPT: AttemptId = AttemptId(1);
+
+    fn handle(call: &mut Call, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        call.handle(Instant::now(), input, &mut out);
+        out
+    }
+
+    fn running(kind: CallKind, keyed: bool, retry: RetryRule) -> Call {
+        let mut call = Call::new(CallPlan { kind, keyed, retry });
+        handle(&mut call, Input::Begin);
+        if keyed {
+            let granted = LedgerReply::Granted(Term(1));
+            assert_eq!(handle(&mut call, Input::Ledger(granted)), [Output::Arrive]);
+        }
+        dispatch(&mut call, ATTEMPT);
+        call
+    }
+
+    fn dispatch(call: &mut Call, attempt: AttemptId) -> Vec<Output> {
+        let input = Input::Dispatched {
+            attempt,
+            runner: "r".into(),
+            exclusive: false,
+        };
+        handle(call, input)
+    }
+
+    #[test]
+    fn a_keyed_call_is_sent_only_after_its_claim_is_durable() {
+        let mut call = Call::new(CallPlan {
+            kind: CallKind::Whole,
+            keyed: true,
+            retry: RetryRule::IfNotRun,
+        });
+        assert_eq!(
+            handle(&mut call, Input::Begin),
+            [Output::Claim(Duration::ZERO)]
+        );
+        let granted = Input::Ledger(LedgerReply::Granted(Term(1)));
+        assert_eq!(handle(&mut call, granted), [Output::Arrive]);
+    }
+
+    #[test]
+    fn a_lost_link_of_a_keyed_call_is_recovered_not_retried() {
+        let mut call = running(CallKind::Whole, true, RetryRule::IfNotRun);
+        let lost = Input::LinkLost {
+            attempt: ATTEMPT,
+            sent: true,
+        };
+        assert_eq!(
+            handle(&mut call, lost),
+            [Output::Recover(ATTEMPT, "r".into())]
+        );
+    }
+
+    #[test]
+    fn a_claim_is_released_only_with_evidence() {
+        let mut call = running(CallKind::Whole, true, RetryRule::IfNotRun);
+        handle(&mut call, Input::Refused(ATTEMPT, Refusal::Leaving));
+        let out = handle(&mut call, Input::Rejected(Rejection::NotRun));
+        assert!(out.contains(&Output::Release));
+        assert!(out.contains(&Output::Fail(Failure::Refused, Outcome::NotRun)));
+
+        let mut call = running(CallKind::Whole, true, RetryRule::IfNotRun);
+        handle(&mut call, Input::EndpointFailed(ATTEMPT));
+        let out = handle(&mut call, Input::Rejected(Rejection::Unknown));
+        assert!(!out.contains(&Output::Release));
+        assert!(out.contains(&Output::Fail(Failure::CutOff, Outcome::Unknown)));
+    }
+
+    #[test]
+    fn a_stream_resumes_where_the_caller_is() {
+        let mut call = running(CallKind::Stream, false, RetryRule::Idempotent);
+        handle(&mut call, Input::Head(ATTEMPT));
+        handle(&mut call, Input::Event(ATTEMPT, 0));
+        handle(&mut call, Input::Event(ATTEMPT, 1));
+        handle(&mut call, Input::EndpointFailed(ATTEMPT));
+        let out = dispatch(&mut call, AttemptId(2));
+        assert!(matches!(out[..], [Output::Send { resume_from: 2, .. }]));
+        let stray = handle(&mut call, Input::Event(ATTEMPT, 2));
+        assert_eq!(stray, [Output::CountStray]);
+        let out = handle(&mut call, Input::Event(AttemptId(2), 2));
+        assert_eq!(out, [Output::Relay(2)]);
+    }
+
+    #[test]
+    fn a_gap_in_a_stream_is_never_relayed() {
+        let mut call = running(CallKind::Stream, false, RetryRule::Idempotent);
+        handle(&mut call, Input::Head(ATTEMPT));
+        handle(&mut call, Input::Event(ATTEMPT, 0));
+        let out = handle(&mut call, Input::Event(ATTEMPT, 2));
+        assert!(!out.iter().any(|o| matches!(o, Output::Relay(_))));
+        let mut call = running(CallKind::Stream, false, RetryRule::Idempotent);
+        handle(&mut call, Input::Head(ATTEMPT));
+        let out = handle(&mut call, Input::EndOfStream(ATTEMPT, 1));
+        assert!(!out.contains(&Output::EndStream));
+    }
+
+    #[test]
+    fn a_late_answer_of_a_keyed_call_is_still_recorded() {
+        let mut call = running(CallKind::Whole, true, RetryRule::IfNotRun);
+        let out = handle(&mut call, Input::Deadline);
+        assert_eq!(
+            out,
+            [Output::Fail(
+                Failure::DeadlineWhileRunning,
+                Outcome::Unknown
+            )]
+        );
+        let answer = Answer::new(200, "", Bytes::from_static(b"ok"));
+        let out = handle(&mut call, Input::Answered(ATTEMPT, answer.clone()));
+        assert!(out.contains(&Output::Settle(answer)));
+        assert!(!out.iter().any(|o| matches!(o, Output::Answer { .. })));
+    }
+}
--- /dev/null
+++ b/crates/core/src/gate/core.rs
@@ -0,0 +1,548 @@
+//! The gate core.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::collections::HashMap;
+use crate::ids::AttemptId;
+use crate::ids::Incarnation;
+
+/// How long an attempt is remembered past its deadline: more than any delay
+/// that a link's clock cannot see.
+const MEMORY_MARGIN: Duration = Duration::from_secs(10);
+
+/// An attempt that an entry sends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Offer {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The life of the agent that the entry means.
+    pub meant_for: Incarnation,
+    /// Time left until its deadline, less the delay on the link.
+    pub remaining: Duration,
+    /// Whether nothing else may run beside it.
+    pub exclusive: bool,
+}
+
+/// Why an attempt did not and will not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The endpoint holds as many requests as it may.
+    Busy,
+    /// The agent takes no new work.
+    Leaving,
+    /// The endpoint does not answer.
+    EndpointDown,
+    /// The deadline has passed.
+    Late,
+    /// The attempt was meant for a former life of the agent.
+    OtherIncarnation,
+    /// The attempt was cancelled before it came, or came twice.
+    Seen,
+}
+
+/// What the agent knows of a cancelled attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelVerdict {
+    /// It did not run and will not.
+    NotRun,
+    /// It runs or ran; whether it took effect is not known here.
+    MayHaveRun,
+}
+
+/// What the gate is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Input {
+    /// An attempt came in.
+    Offer(Offer),
+    /// An entry gives an attempt up.
+    Cancel {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The life of the agent that the attempt was meant for.
+        meant_for: Incarnation,
+        /// Time until the attempt's deadline.
+        remaining: Duration,
+    },
+    /// An entry lost its link and wants the answer, or evidence that there is none.
+    Recover {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The life of the agent that the attempt was meant for.
+        meant_for: Incarnation,
+        /// Time until the attempt's deadline.
+        remaining: Duration,
+    },
+    /// The endpoint is done with an attempt.
+    Finished(AttemptId),
+    /// Take no new work from now on.
+    Drain,
+    /// Change how many attempts may run at a time.
+    Limit(u32),
+    /// The endpoint answers, or does not.
+    EndpointUp(bool),
+    /// Time passed.
+    Tick,
+}
+
+/// What the gate wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Send the attempt to the endpoint.
+    Start(AttemptId),
+    /// Tell the entry that the attempt did not and will not run.
+    Refuse(AttemptId, Refusal),
+    /// Stop the attempt at the endpoint.
+    Abort(AttemptId),
+    /// Answer a cancellation or a recovery.
+    Cancelled(AttemptId, CancelVerdict),
+    /// Nothing runs any more and nothing new will.
+    Drained,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    exclusive: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Tombstone {
+    until: Instant,
+    /// Whether the attempt reached the endpoint.
+    started: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    offer: Offer,
+    deadline: Instant,
+}
+
+/// Admission to one endpoint.
+#[derive(Debug)]
+pub struct Gate {
+    incarnation: Incarnation,
+    /// At least one.
+    max_in_flight: u32,
+    draining: bool,
+    drained_reported: bool,
+    endpoint_up: bool,
+    running: HashMap<AttemptId, Running>,
+    /// Exclusive attempts that wait until nothing else runs.
+    waiting: VecDeque<Waiting>,
+    /// Attempts that will never start again, each until no copy can be in time.
+    tombstones: HashMap<AttemptId, Tombstone>,
+    next_sweep: Option<Instant>,
+}
+
+impl Gate {
+    /// Returns a gate with nothing running.
+    pub fn new(incarnation: Incarnation, max_in_flight: u32) -> Self {
+        Self {
+            incarnation,
+            max_in_flight: max_in_flight.max(1),
+            draining: false,
+            drained_reported: false,
+            endpoint_up: true,
+            running: HashMap::default(),
+            waiting: VecDeque::new(),
+            tombstones: HashMap::default(),
+            next_sweep: None,
+        }
+    }
+
+    /// Takes an input and appends what has to be done.
+    pub fn handle(&mut self, now: Instant, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Offer(offer) => self.offer(now, offer, out),
+            Input::Cancel {
+                attempt,
+                meant_for,
+                remaining,
+            } => self.cancel(now, attempt, meant_for, remaining, out),
+            Input::Recover {
+                attempt,
+                meant_for,
+                remaining,
+            } => self.recover(now, attempt, meant_for, remaining, out),
+            Input::Finished(attempt) => {
+                self.running.remove(&attempt);
+            }
+            Input::Drain => self.drain(out),
+            Input::Limit(max) => self.max_in_flight = max.max(1),
+            Input::EndpointUp(up) => self.endpoint_up = up,
+            Input::Tick => {}
+        }
+        self.sweep(now, out);
+        self.start_waiting(out);
+        self.report_drained(out);
+    }
+
+    /// Returns when `Input::Tick` is due.
+    pub fn next_deadline(&self) -> Option<Instant> {
+        let waiting = self.waiting.iter().map(|w| w.deadline);
+        waiting.chain(self.next_sweep).min()
+    }
+
+    /// Returns how many attempts the endpoint holds.
+    pub fn in_flight(&self) -> u32 {
+        (self.running.len() + self.waiting.len()) as u32
+    }
+
+    /// Returns how many attempts may run at a time.
+    pub fn max_in_flight(&self) -> u32 {
+        self.max_in_flight
+    }
+
+    /// Returns whether new work is refused for good.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Returns whether the endpoint answers.
+    pub fn is_endpoint_up(&self) -> bool {
+        self.endpoint_up
+    }
+
+    /// Returns the attempts that the endpoint runs now.
+    pub fn running(&self) -> impl Iterator<Item = AttemptId> {
+        self.running.keys().copied()
+    }
+
+    fn offer(&mut self, now: Instant, offer: Offer, out: &mut Vec<Output>) {
+        if let Some(refusal) = self.refusal(&offer) {
+            let known = self.tombstones.contains_key(&offer.attempt);
+            if !known {
+                self.bury(now, offer.attempt, offer.remaining);
+            }
+            out.push(Output::Refuse(offer.attempt, refusal));
+            return;
+        }
+        self.bury(now, offer.attempt, offer.remaining);
+        if offer.exclusive && !self.running.is_empty() {
+            let deadline = now + offer.remaining;
+            self.waiting.push_back(Waiting { offer, deadline });
+            return;
+        }
+        self.start(&offer, out);
+    }
+
+    fn refusal(&self, offer: &Offer) -> Option<Refusal> {
+        if offer.meant_for != self.incarnation {
+            return Some(Refusal::OtherIncarnation);
+        }
+        if self.tombstones.contains_key(&offer.attempt) {
+            return Some(Refusal::Seen);
+        }
+        if offer.remaining.is_zero() {
+            return Some(Refusal::Late);
+        }
+        if self.draining {
+            return Some(Refusal::Leaving);
+        }
+        if !self.endpoint_up {
+            return Some(Refusal::EndpointDown);
+        }
+        let alone = self.running.values().any(|running| running.exclusive);
+        let full = self.running.len() >= self.max_in_flight as usize;
+        if alone || !self.waiting.is_empty() || (full && !offer.exclusive) {
+            return Some(Refusal::Busy);
+        }
+        None
+    }
+
+    fn start(&mut self, offer: &Offer, out: &mut Vec<Output>) {
+        let running = Running {
+            exclusive: offer.exclusive,
+        };
+        if let Some(tombstone) = self.tombstones.get_mut(&offer.attempt) {
+            tombstone.started = true;
+        }
+        self.running.insert(offer.attempt, running);
+        out.push(Output::Start(offer.attempt));
+    }
+
+    /// Remembers an attempt until no copy of it can be in time.
+    fn bury(&mut self, now: Instant, attempt: AttemptId, remaining: Duration) {
+        let until = now + remaining + MEMORY_MARGIN;
+        let fresh = Tombstone {
+            until,
+            started: false,
+        };
+        let held = self.tombstones.entry(attempt).or_insert(fresh);
+        held.until = held.until.max(until);
+        let until = held.until;
+        self.next_sweep = Some(self.next_sweep.map_or(until, |at| at.min(until)));
+    }
+
+    fn cancel(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        meant_for: Incarnation,
+        remaining: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let verdict = self.cancel_verdict(attempt, meant_for, remaining);
+        if let Some(index) = self.waiting.iter().position(|w| w.offer.attempt == attempt) {
+            self.waiting.remove(index);
+            out.push(Output::Refuse(attempt, Refusal::Seen));
+        }
+        if self.running.contains_key(&attempt) {
+            out.push(Output::Abort(attempt));
+        }
+        if meant_for == self.incarnation {
+            self.bury(now, attempt, remaining);
+        }
+        out.push(Output::Cancelled(attempt, verdict));
+    }
+
+    /// Like a cancellation, but what runs or waits goes on.
+    fn recover(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        meant_for: Incarnation,
+        remaining: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let waits = self.waiting.iter().any(|w| w.offer.attempt == attempt);
+        let verdict = if waits {
+            CancelVerdict::MayHaveRun
+        } else {
+            self.cancel_verdict(attempt, meant_for, remaining)
+        };
+        if meant_for == self.incarnation {
+            self.bury(now, attempt, remaining);
+        }
+        out.push(Output::Cancelled(attempt, verdict));
+    }
+
+    fn cancel_verdict(
+        &self,
+        attempt: AttemptId,
+        meant_for: Incarnation,
+        remaining: Duration,
+    ) -> CancelVerdict {
+        if meant_for != self.incarnation {
+            // What a former life ran is not known here.
+            return CancelVerdict::MayHaveRun;
+        }
+        match self.tombstones.get(&attempt) {
+            Some(tombstone) if tombstone.started => CancelVerdict::MayHaveRun,
+            Some(_) => CancelVerdict::NotRun,
+            // Past its deadline the attempt may have run and been forgotten.
+            None if remaining.is_zero() => CancelVerdict::MayHaveRun,
+            None => CancelVerdict::NotRun,
+        }
+    }
+
+    fn drain(&mut self, out: &mut Vec<Output>) {
+        self.draining = true;
+        for waiting in self.waiting.drain(..) {
+            out.push(Output::Refuse(waiting.offer.attempt, Refusal::Leaving));
+        }
+    }
+
+    fn sweep(&mut self, now: Instant, out: &mut Vec<Output>) {
+        self.waiting.retain(|waiting| {
+            let in_time = now < waiting.deadline;
+            if !in_time {
+                out.push(Output::Refuse(waiting.offer.attempt, Refusal::Late));
+            }
+            in_time
+        });
+        if self.next_sweep.is_none_or(|at| now < at) {
+            return;
+        }
+        self.tombstones.retain(|_, tombstone| now < tombstone.until);
+        self.next_sweep = self.tombstones.values().map(|t| t.until).min();
+    }
+
+    fn start_waiting(&mut self, out: &mut Vec<Output>) {
+        if !self.running.is_empty() || !self.endpoint_up {
+            return;
+        }
+        if let Some(waiting) = self.waiting.pop_front() {
+            self.start(&waiting.offer, out);
+        }
+    }
+
+    fn report_drained(&mut self, out: &mut Vec<Output>) {
+        let empty = self.running.is_empty() && self.waiting.is_empty();
+        if self.draining && empty && !self.drained_reported {
+            self.drained_reported = true;
+            out.push(Output::Drained);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+    use std::time::Instant;
+
+    use super::CancelVerdict;
+    use super::Gate;
+    use super::Input;
+    use super::Offer;
+    use super::Output;
+    use super::Refusal;
+    use crate::ids::AttemptId;
+    use crate::ids::Incarnation;
+
+    const SECOND: Duration = Duration::from_secs(1);
+
+    fn offer(id: u128, exclusive: bool) -> Input {
+        Input::Offer(Offer {
+            attempt: AttemptId(id),
+            meant_for: Incarnation(1),
+            remaining: SECOND,
+            exclusive,
+        })
+    }
+
+    fn cancel(id: u128) -> Input {
+        Input::Cancel {
+            attempt: AttemptId(id),
+            meant_for: Incarnation(1),
+            remaining: SECOND,
+        }
+    }
+
+    fn handle(gate: &mut Gate, now: Instant, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        gate.handle(now, input, &mut out);
+        out
+    }
+
+    fn gate() -> Gate {
+        Gate::new(Incarnation(1), 2)
+    }
+
+    #[test]
+    fn a_cancelled_attempt_is_refused_when_it_comes_late() {
+        let (mut gate, now) = (gate(), Instant::now());
+        let out = handle(&mut gate, now, cancel(5));
+        assert_eq!(
+            out,
+            [Output::Cancelled(AttemptId(5), CancelVerdict::NotRun)]
+        );
+        let out = handle(&mut gate, now, offer(5, false));
+        assert_eq!(out, [Output::Refuse(AttemptId(5), Refusal::Seen)]);
+    }
+
+    #[test]
+    fn a_second_copy_never_starts() {
+        let (mut gate, now) = (gate(), Instant::now());
+        assert_eq!(
+            handle(&mut gate, now, offer(5, false)),
+            [Output::Start(AttemptId(5))]
+        );
+        handle(&mut gate, now, Input::Finished(AttemptId(5)));
+        assert_eq!(
+            handle(&mut gate, now, offer(5, false)),
+            [Output::Refuse(AttemptId(5), Refusal::Seen)]
+        );
+    }
+
+    #[test]
+    fn only_what_never_started_is_called_not_run() {
+        let (mut gate, now) = (gate(), Instant::now());
+        handle(&mut gate, now, offer(1, false));
+        handle(&mut gate, now, offer(2, false));
+        handle(&mut gate, now, offer(3, false));
+        handle(&mut gate, now, Input::Finished(AttemptId(1)));
+        let verdicts = [1, 2, 3].map(|id| handle(&mut gate, now, cancel(id)));
+        let may_have_run = |id| Output::Cancelled(AttemptId(id), CancelVerdict::MayHaveRun);
+        assert_eq!(verdicts[0], [may_have_run(1)]);
+        assert_eq!(verdicts[1], [Output::Abort(AttemptId(2)), may_have_run(2)]);
+        assert_eq!(
+            verdicts[2],
+            [Output::Cancelled(AttemptId(3), CancelVerdict::NotRun)]
+        );
+    }
+
+    #[test]
+    fn a_cancellation_past_the_deadline_proves_nothing() {
+        let mut gate = gate();
+        let late = Input::Cancel {
+            attempt: AttemptId(1),
+            meant_for: Incarnation(1),
+            remaining: Duration::ZERO,
+        };
+        assert_eq!(
+            handle(&mut gate, Instant::now(), late),
+            [Output::Cancelled(AttemptId(1), CancelVerdict::MayHaveRun)]
+        );
+    }
+
+    #[test]
+    fn a_replacement_refuses_what_was_meant_for_its_predecessor() {
+        let mut gate = Gate::new(Incarnation(2), 2);
+        let out = handle(&mut gate, Instant::now(), offer(5, false));
+        assert_eq!(
+            out,
+            [Output::Refuse(AttemptId(5), Refusal::OtherIncarnation)]
+        );
+        let out = handle(&mut gate, Instant::now(), cancel(5));
+        assert_eq!(
+            out,
+            [Output::Cancelled(AttemptId(5), CancelVerdict::MayHaveRun)]
+        );
+    }
+
+    #[test]
+    fn draining_refuses_new_work_and_finishes_the_old() {
+        let (mut gate, now) = (gate(), Instant::now());
+        handle(&mut gate, now, offer(1, false));
+        assert!(handle(&mut gate, now, Input::Drain).is_empty());
+        assert_eq!(
+            handle(&mut gate, now, offer(2, false)),
+            [Output::Refuse(AttemptId(2), Refusal::Leaving)]
+        );
+        assert_eq!(
+            handle(&mut gate, now, Input::Finished(AttemptId(1))),
+            [Output::Drained]
+        );
+    }
+
+    #[test]
+    fn an_exclusive_attempt_waits_for_the_others_and_holds_off_new_ones() {
+        let (mut gate, now) = (gate(), Instant::now());
+        handle(&mut gate, now, offer(1, false));
+        assert!(handle(&mut gate, now, offer(2, true)).is_empty());
+        assert_eq!(
+            handle(&mut gate, now, offer(3, false)),
+            [Output::Refuse(AttemptId(3), Refusal::Busy)]
+        );
+        assert_eq!(
+            handle(&mut gate, now, Input::Finished(AttemptId(1))),
+            [Output::Start(AttemptId(2))]
+        );
+    }
+
+    #[test]
+    fn a_waiting_exclusive_attempt_ends_at_its_deadline() {
+        let (mut gate, now) = (gate(), Instant::now());
+        handle(&mut gate, now, offer(1, false));
+        handle(&mut gate, now, offer(2, true));
+        assert_eq!(
+            handle(&mut gate, now + SECOND, Input::Tick),
+            [Output::Refuse(AttemptId(2), Refusal::Late)]
+        );
+    }
+
+    #[test]
+    fn memory_of_attempts_ends_with_their_deadlines() {
+        let (mut gate, now) = (gate(), Instant::now());
+        for id in 0..100 {
+            handle(&mut gate, now, cancel(id));
+        }
+        assert_eq!(gate.tombstones.len(), 100);
+        handle(&mut gate, now + SECOND + super::MEMORY_MARGIN, Input::Tick);
+        assert!(gate.tombstones.is_empty());
+        assert_eq!(gate.next_deadline(), None);
+    }
+}
--- /dev/null
+++ b/crates/core/src/router/core.rs
@@ -0,0 +1,603 @@
+//! The router core of one service: ties admission, choice, retries and blocks.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::collections::HashMap;
+use crate::fleet::Distance;
+use crate::fleet::Service;
+use crate::ids::AttemptId;
+use crate::ids::Fingerprint;
+use crate::ids::RunnerId;
+use crate::router::AttemptResult;
+use crate::router::Chooser;
+use crate::router::Death;
+use crate::router::FairQueue;
+use crate::router::PoisonRegistry;
+use crate::router::Policy;
+use crate::router::PrefixIndex;
+use crate::router::Rejection;
+use crate::router::Request;
+use crate::router::RequestId;
+use crate::router::RetryBudget;
+use crate::router::RetryRule;
+use crate::router::RunnerReport;
+use crate::router::RunnerState;
+use crate::router::Standing;
+use crate::router::Wanted;
+
+/// Prefixes that one service remembers.
+const PREFIX_CAPACITY: usize = 16_384;
+/// Attempts that one request may take, whatever the budget says.
+const MAX_ATTEMPTS: u32 = 4;
+/// Bounds of the advice when to come back.
+const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(30);
+/// Weight of the newest sample in the mean time between answers.
+const PACE_GAIN: f64 = 0.05;
+/// Answers before the pace is trusted for early rejection.
+const MIN_PACE_SAMPLES: u32 = 32;
+/// Gap between answers that says nothing about the pace under load.
+const IDLE_GAP: Duration = Duration::from_secs(1);
+
+/// What the router is told.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A request came in, with its workspace's weight.
+    Arrive(Request, u32),
+    /// An attempt ended.
+    Ended {
+        /// The attempt.
+        attempt: AttemptId,
+        /// How it ended.
+        result: AttemptResult,
+    },
+    /// The caller of a waiting request went away.
+    Cancel(RequestId),
+    /// A runner belongs to the service.
+    RunnerAdded(RunnerId, Distance),
+    /// A runner is gone for good.
+    RunnerGone(RunnerId),
+    /// A runner's state changed.
+    RunnerState(RunnerId, RunnerState),
+    /// A runner reported its load.
+    Report(RunnerId, RunnerReport),
+    /// An endpoint died while running a request.
+    Death(Death),
+    /// The service's limits changed.
+    Limits(Box<Service>),
+    /// Time passed.
+    Tick,
+}
+
+/// What the router wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send one attempt to a runner.
+    Dispatch {
+        /// The request.
+        request: RequestId,
+        /// The attempt, never used before.
+        attempt: AttemptId,
+        /// Where to send it.
+        runner: RunnerId,
+        /// Whether it must run alone.
+        exclusive: bool,
+    },
+    /// Answer the caller: no further attempt is made.
+    Reject(RequestId, Rejection),
+    /// A request that kills endpoints was blocked.
+    Blocked(Fingerprint),
+}
+
+#[derive(Debug)]
+struct InFlight {
+    request: Request,
+    runner: RunnerId,
+    attempts: u32,
+}
+
+/// The decisions of one entry for one service.
+#[derive(Debug)]
+pub struct Router {
+    limits: Service,
+    chooser: Chooser,
+    queue: FairQueue,
+    budget: RetryBudget,
+    poison: PoisonRegistry,
+    prefixes: PrefixIndex,
+    in_flight: HashMap<AttemptId, InFlight>,
+    /// Attempts already made for requests that wait again.
+    attempts: HashMap<RequestId, u32>,
+    pace: Pace,
+    rng: SmallRng,
+}
+
+/// The mean time between answers while the service is busy.
+#[derive(Debug, Default)]
+struct Pace {
+    /// Seconds; zero before the first sample.
+    mean_gap: f64,
+    last: Option<Instant>,
+    samples: u32,
+}
+
+impl Pace {
+    fn answered(&mut self, now: Instant) {
+        if let Some(last) = self.last {
+            let gap = now.saturating_duration_since(last);
+            if gap < IDLE_GAP {
+                self.mean_gap += PACE_GAIN * (gap.as_secs_f64() - self.mean_gap);
+                self.samples = self.samples.saturating_add(1);
+            }
+        }
+        self.last = Some(now);
+    }
+
+    fn wait_for(&self, position: usize) -> Option<Duration> {
+        let trusted = self.samples >= MIN_PACE_SAMPLES;
+        trusted.then(|| Duration::from_secs_f64(self.mean_gap * position as f64))
+    }
+}
+
+impl Router {
+    /// Returns a router without runners; `seed` makes its draws repeatable.
+    pub fn new(limits: Service, policy: Policy, seed: u64) -> Self {
+        Self {
+            chooser: Chooser::new(policy, limits.max_in_flight),
+            queue: FairQueue::default(),
+            budget: RetryBudget::new(limits.retry_share),
+            poison: PoisonRegistry::default(),
+            prefixes: PrefixIndex::new(PREFIX_CAPACITY),
+            in_flight: HashMap::default(),
+            attempts: HashMap::default(),
+            pace: Pace::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            limits,
+        }
+    }
+
+    /// Takes an input and appends what has to be done.
+    pub fn handle(&mut self, now: Instant, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Arrive(request, weight) => self.arrive(now, request, weight, out),
+            Input::Ended { attempt, result } => self.ended(now, attempt, result, out),
+            Input::Cancel(id) => {
+                self.queue.remove(id);
+                self.attempts.remove(&id);
+            }
+            Input::RunnerAdded(id, distance) => self.chooser.add(id, distance),
+            Input::RunnerGone(id) => {
+                self.chooser.remove(&id);
+                self.prefixes.forget(&id);
+            }
+            Input::RunnerState(id, state) => self.chooser.set_state(&id, state),
+            Input::Report(id, report) => self.chooser.report(now, &id, report),
+            Input::Death(death) => self.death(now, &death, out),
+            Input::Limits(limits) => self.set_limits(*limits),
+            Input::Tick => {}
+        }
+        self.expire(now, out);
+        self.dispatch_waiting(now, out);
+    }
+
+    /// Returns when `Input::Tick` is due.
+    pub fn next_deadline(&self) -> Option<Instant> {
+        if self.queue.is_empty() {
+            return None;
+        }
+        self.queue
+            .next_deadline()
+            .into_iter()
+            .chain(self.chooser.next_deadline())
+            .min()
+    }
+
+    /// Returns how many requests wait for a runner.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns how many attempts are under way.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.len()
+    }
+
+    fn arrive(&mut self, now: Instant, request: Request, weight: u32, out: &mut Vec<Output>) {
+        if let Standing::Blocked(until) = self.poison.standing(now, request.fingerprint) {
+            let retry_after = until - now;
+            out.push(Output::Reject(
+                request.id,
+                Rejection::Blocked { retry_after },
+            ));
+            return;
+        }
+        if !self.chooser.has_live_runner(&request.excluded) {
+            let retry_after = RETRY_AFTER_MIN;
+            out.push(Output::Reject(
+                request.id,
+                Rejection::NoRunner { retry_after },
+            ));
+            return;
+        }
+        if self.is_hopeless(now, &request) {
+            let retry_after = self.retry_after();
+            out.push(Output::Reject(
+                request.id,
+                Rejection::Deadline { retry_after },
+            ));
+            return;
+        }
+        self.queue.push(request, weight);
+        self.dispatch_waiting(now, out);
+        while self.queue.len() > self.limits.max_queue as usize {
+            let Some(shed) = self.queue.shed() else {
+                break;
+            };
+            self.attempts.remove(&shed.id);
+            let retry_after = self.retry_after();
+            out.push(Output::Reject(
+                shed.id,
+                Rejection::Overloaded { retry_after },
+            ));
+        }
+    }
+
+    /// Returns whether the queue in front is longer than the deadline allows.
+    fn is_hopeless(&self, now: Instant, request: &Request) -> bool {
+        self.pace
+            .wait_for(self.queue.len())
+            .is_some_and(|wait| !self.queue.is_empty() && now + wait > request.deadline)
+    }
+
+    fn retry_after(&self) -> Duration {
+        self.pace
+            .wait_for(self.queue.len())
+            .unwrap_or(RETRY_AFTER_MIN)
+            .clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
+    }
+
+    fn ended(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        result: AttemptResult,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(InFlight {
+            mut request,
+            runner,
+            attempts,
+        }) = self.in_flight.remove(&attempt)
+        else {
+            return;
+        };
+        self.chooser.ended(&runner);
+        match result {
+            AttemptResult::Answered { took } => self.answered(now, &request, &runner, took),
+            AttemptResult::Cancelled => {}
+            AttemptResult::Busy => {
+                self.chooser.busy(now, &runner);
+                self.attempts.insert(request.id, attempts - 1);
+                self.queue.push_front(request);
+            }
+            AttemptResult::NotRun | AttemptResult::Unknown => {
+                if self.may_retry(now, &request, attempts, result) {
+                    request.excluded.push(runner);
+                    self.relax_exclusions(&mut request);
+                    self.attempts.insert(request.id, attempts);
+                    self.queue.push_front(request);
+                } else {
+                    let rejection = match result {
+                        AttemptResult::NotRun => Rejection::NotRun,
+                        _ => Rejection::Unknown,
+                    };
+                    out.push(Output::Reject(request.id, rejection));
+                }
+            }
+        }
+    }
+
+    fn answered(&mut self, now: Instant, request: &Request, runner: &RunnerId, took: Duration) {
+        self.budget.earn();
+        self.pace.answered(now);
+        self.chooser.took(runner, took, request.cost_tokens);
+        if !self.poison.is_empty() {
+            self.poison.clear(request.fingerprint);
+        }
+    }
+
+    fn may_retry(
+        &mut self,
+        now: Instant,
+        request: &Request,
+        attempts: u32,
+        result: AttemptResult,
+    ) -> bool {
+        let safe = match request.retry {
+            RetryRule::Never => false,
+            RetryRule::IfNotRun => result == AttemptResult::NotRun,
+            RetryRule::Idempotent => true,
+        };
+        safe && attempts < MAX_ATTEMPTS && now < request.deadline && self.budget.try_spend()
+    }
+
+    /// Lets a request back to runners that failed it when no other is left.
+    fn relax_exclusions(&self, request: &mut Request) {
+        if !self.chooser.has_live_runner(&request.excluded) {
+            request.excluded.clear();
+        }
+    }
+
+    fn death(&mut self, now: Instant, death: &Death, out: &mut Vec<Output>) {
+        self.prefixes.forget(&death.runner);
+        if self.poison.record(now, death, self.limits.block) {
+            out.push(Output::Blocked(death.fingerprint));
+        }
+    }
+
+    fn set_limits(&mut self, limits: Service) {
+        self.budget.set_share(limits.retry_share);
+        self.chooser.set_default_max(limits.max_in_flight);
+        self.limits = limits;
+    }
+
+    fn expire(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.queue.next_deadline().is_none_or(|at| now < at) {
+            return;
+        }
+        let retry_after = self.retry_after();
+        for request in self.queue.expire(now) {
+            self.attempts.remove(&request.id);
+            out.push(Output::Reject(
+                request.id,
+                Rejection::Deadline { retry_after },
+            ));
+        }
+    }
+
+    fn dispatch_waiting(&mut self, now: Instant, out: &mut Vec<Output>) {
+        while !self.queue.is_empty() {
+            let mut chosen = None;
+            let Self {
+                queue,
+                chooser,
+                prefixes,
+                rng,
+                ..
+            } = self;
+            let next = queue.pop(|request| {
+                let wanted = Wanted {
+                    cached: prefixes.longest(&request.prefix),
+                    excluded: &request.excluded,
+                    cost_tokens: request.cost_tokens,
+                };
+                chosen = chooser.choose(now, wanted, rng);
+                chosen.is_some()
+            });
+            let (Some(request), Some(runner)) = (next, chosen) else {
+                return;
+            };
+            self.dispatch(now, request, runner, out);
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        now: Instant,
+        request: Request,
+        runner: RunnerId,
+        out: &mut Vec<Output>,
+    ) {
+        let standing = self.poison.standing(now, request.fingerprint);
+        let exclusive = match standing {
+            Standing::Clear => false,
+            Standing::Suspect => true,
+            Standing::Blocked(until) => {
+                self.attempts.remove(&request.id);
+                let retry_after = until - now;
+                out.push(Output::Reject(
+                    request.id,
+                    Rejection::Blocked { retry_after },
+                ));
+                return;
+            }
+        };
+        let attempts = self.attempts.remove(&request.id).unwrap_or(0) + 1;
+        let attempt = AttemptId(
+            rand::Rng::next_u64(&mut self.rng) as u128
+                | (rand::Rng::next_u64(&mut self.rng) as u128) << 64,
+        );
+        self.chooser.started(&runner);
+        self.prefixes.record(&request.prefix, &runner);
+        out.push(Output::Dispatch {
+            request: request.id,
+            attempt,
+            runner: runner.clone(),
+            exclusive,
+        });
+        let in_flight = InFlight {
+            request,
+            runner,
+            attempts,
+        };
+        self.in_flight.insert(attempt, in_flight);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+    use std::time::Instant;
+
+    use super::Input;
+    use super::Output;
+    use super::Router;
+    use crate::fleet::Distance;
+    use crate::fleet::Service;
+    use crate::fleet::ServiceKind;
+    use crate::ids::AttemptId;
+    use crate::ids::Fingerprint;
+    use crate::ids::RunnerId;
+    use crate::router::AttemptResult;
+    use crate::router::Death;
+    use crate::router::Policy;
+    use crate::router::Rejection;
+    use crate::router::Request;
+    use crate::router::RequestId;
+    use crate::router::RetryRule;
+
+    struct Fixture {
+        router: Router,
+        now: Instant,
+    }
+
+    impl Fixture {
+        fn new(runners: &[&str], max_in_flight: u32, max_queue: u32) -> Self {
+            let mut limits = Service::new(ServiceKind::Plain);
+            limits.max_in_flight = max_in_flight;
+            limits.max_queue = max_queue;
+            let mut fixture = Self {
+                router: Router::new(limits, Policy::Scan, 7),
+                now: Instant::now(),
+            };
+            for runner in runners {
+                fixture.handle(Input::RunnerAdded((*runner).into(), Distance::SamePlace));
+            }
+            fixture
+        }
+
+        fn handle(&mut self, input: Input) -> Vec<Output> {
+            let mut out = Vec::new();
+            self.router.handle(self.now, input, &mut out);
+            out
+        }
+
+        fn arrive(&mut self, id: u64, retry: RetryRule) -> Vec<Output> {
+            let request = Request {
+                id: RequestId(id),
+                workspace: "w".into(),
+                cost_tokens: 1,
+                priority: 0,
+                deadline: self.now + Duration::from_secs(10),
+                retry,
+                prefix: Vec::new(),
+                fingerprint: Fingerprint(u128::from(id)),
+                excluded: Vec::new(),
+            };
+            self.handle(Input::Arrive(request, 1))
+        }
+    }
+
+    fn dispatched(out: &[Output]) -> (AttemptId, RunnerId, bool) {
+        out.iter()
+            .find_map(|output| match output {
+                Output::Dispatch {
+                    attempt,
+                    runner,
+                    exclusive,
+                    ..
+                } => Some((*attempt, runner.clone(), *exclusive)),
+                _ => None,
+            })
+            .expect("a dispatch")
+    }
+
+    #[test]
+    fn an_attempt_that_may_have_run_is_retried_only_for_idempotent_calls() {
+        for (retry, retried) in [
+            (RetryRule::Never, false),
+            (RetryRule::IfNotRun, false),
+            (RetryRule::Idempotent, true),
+        ] {
+            let mut fixture = Fixture::new(&["a", "b"], 1, 8);
+            let (attempt, first, _) = dispatched(&fixture.arrive(1, retry));
+            let out = fixture.handle(Input::Ended {
+                attempt,
+                result: AttemptResult::Unknown,
+            });
+            if retried {
+                assert_ne!(dispatched(&out).1, first);
+            } else {
+                assert_eq!(out, [Output::Reject(RequestId(1), Rejection::Unknown)]);
+            }
+        }
+    }
+
+    #[test]
+    fn a_busy_refusal_goes_elsewhere_without_spending_the_budget() {
+        let mut fixture = Fixture::new(&["a", "b"], 1, 8);
+        let (attempt, first, _) = dispatched(&fixture.arrive(1, RetryRule::Never));
+        let out = fixture.handle(Input::Ended {
+            attempt,
+            result: AttemptResult::Busy,
+        });
+        assert_ne!(dispatched(&out).1, first);
+    }
+
+    #[test]
+    fn a_full_queue_sheds_at_once_with_advice_when_to_return() {
+        let mut fixture = Fixture::new(&["a"], 1, 1);
+        fixture.arrive(1, RetryRule::Never);
+        assert!(fixture.arrive(2, RetryRule::Never).is_empty());
+        let out = fixture.arrive(3, RetryRule::Never);
+        assert!(matches!(
+            out[..],
+            [Output::Reject(RequestId(3), Rejection::Overloaded { .. })]
+        ));
+    }
+
+    #[test]
+    fn a_waiting_request_is_rejected_at_its_deadline() {
+        let mut fixture = Fixture::new(&["a"], 1, 8);
+        fixture.arrive(1, RetryRule::Never);
+        fixture.arrive(2, RetryRule::Never);
+        let due = fixture.router.next_deadline().expect("one waits");
+        fixture.now = due;
+        let out = fixture.handle(Input::Tick);
+        assert!(matches!(
+            out[..],
+            [Output::Reject(RequestId(2), Rejection::Deadline { .. })]
+        ));
+    }
+
+    #[test]
+    fn a_killer_runs_alone_the_second_time_and_not_a_third_time() {
+        let mut fixture = Fixture::new(&["a", "b", "c"], 4, 8);
+        let (attempt, first, exclusive) = dispatched(&fixture.arrive(1, RetryRule::Idempotent));
+        assert!(!exclusive);
+        let death = |runner: &RunnerId, alone| {
+            Input::Death(Death {
+                fingerprint: Fingerprint(1),
+                runner: runner.clone(),
+                alone,
+            })
+        };
+        fixture.handle(death(&first, false));
+        let out = fixture.handle(Input::Ended {
+            attempt,
+            result: AttemptResult::Unknown,
+        });
+        let (attempt, second, exclusive) = dispatched(&out);
+        assert!(exclusive);
+        let out = fixture.handle(death(&second, true));
+        assert_eq!(out, [Output::Blocked(Fingerprint(1))]);
+        let out = fixture.handle(Input::Ended {
+            attempt,
+            result: AttemptResult::Unknown,
+        });
+        assert!(matches!(
+            out[..],
+            [Output::Reject(RequestId(1), Rejection::Blocked { .. })]
+        ));
+        let out = fixture.arrive(1, RetryRule::Idempotent);
+        assert!(matches!(
+            out[..],
+            [Output::Reject(_, Rejection::Blocked { .. })]
+        ));
+        dispatched(&fixture.arrive(2, RetryRule::Idempotent));
+    }
+}
