--- a/crates/core/src/call/core.rs
+++ b/crates/core/src/call/core.rs
@@ -310,6 +310,11 @@
             out.push(Output::CountStray);
             return;
         };
+        if self.stream_begun {
+            // The rest of a stream cannot come in one piece.
+            self.failed(attempt, out);
+            return;
+        }
         self.may_have_run = true;
         let took = now.saturating_duration_since(run.started);
         out.push(Output::Ended(attempt, AttemptResult::Answered { took }));
--- a/crates/core/src/ticket/book.rs
+++ b/crates/core/src/ticket/book.rs
@@ -64,9 +64,9 @@
     /// Takes the digest that a peer's heartbeat carries.
     ///
     /// Returns whether the peer has a newer head that is worth asking for.
-    pub fn compare(&mut self, now: Instant, number: TicketNumber, chain: &str) -> bool {
+    pub fn compare(&mut self, now: Instant, number: TicketNumber, tag: u64) -> bool {
         match &self.head {
-            Some(head) if head.number == number && head.chain == chain => {
+            Some(head) if head.number == number && head.tag() == tag => {
                 self.confirmed_at = Some(now);
                 false
             }
@@ -87,6 +87,11 @@
             .map_or(TicketNumber(0), |head| head.number)
     }
 
+    /// Returns the digest that heartbeats carry; zero when nothing is in force.
+    pub fn tag(&self) -> u64 {
+        self.head.as_ref().map_or(0, |head| head.tag())
+    }
+
     /// Returns how old the last confirmation is; `None` before the first.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.confirmed_at
@@ -142,7 +147,7 @@
         let bound = Duration::from_secs(16);
         assert!(book.is_fresh(now + bound, bound));
         assert!(!book.is_fresh(now + bound + Duration::from_millis(1), bound));
-        book.compare(now + bound, TicketNumber(1), "a");
+        book.compare(now + bound, TicketNumber(1), head(1, "a").tag());
         assert!(book.is_fresh(now + bound + bound, bound));
     }
 }
--- a/crates/core/src/ticket/head.rs
+++ b/crates/core/src/ticket/head.rs
@@ -97,6 +97,14 @@
         }
     }
 
+    /// Returns a short digest of the history, for heartbeats.
+    pub fn tag(&self) -> u64 {
+        let hash = blake3::hash(self.chain.as_bytes());
+        let mut head = [0; 8];
+        head.copy_from_slice(&hash.as_bytes()[..8]);
+        u64::from_le_bytes(head)
+    }
+
     /// Decides how a ticket can be accepted on top of this head.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/standins/src/engine/chat.rs
@@ -0,0 +1,154 @@
+//! Chat completions, streamed or whole.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::engine::Engine;
+use crate::engine::KILLER;
+use crate::http_server::Body;
+use crate::http_server::answer;
+use crate::http_server::json as json_answer;
+
+/// Header with the number of events that the caller has already.
+const RESUME_HEADER: &str = "x-resume-events";
+/// Tokens of an answer when the request does not say.
+const DEFAULT_TOKENS: u64 = 16;
+
+/// Returns the text that answers a prompt with this many tokens.
+pub fn expected_answer(prompt: &str, tokens: u64) -> String {
+    (0..tokens).map(|index| token(prompt, index)).collect()
+}
+
+fn token(prompt: &str, index: u64) -> String {
+    let seed = prompt.bytes().fold(index + 1, |acc, byte| {
+        acc.wrapping_mul(31).wrapping_add(u64::from(byte))
+    });
+    format!("t{index}-{:03x} ", seed & 0xfff)
+}
+
+struct Job {
+    prompt: String,
+    tokens: u64,
+    stream: bool,
+    resume_from: u64,
+}
+
+async fn read_job(req: Request<Incoming>) -> Option<Job> {
+    let resume_from = req
+        .headers()
+        .get(RESUME_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(0);
+    let body = req.into_body().collect().await.ok()?.to_bytes();
+    let body: Value = serde_json::from_slice(&body).ok()?;
+    let messages = body["messages"].as_array()?;
+    let prompt = messages
+        .iter()
+        .filter_map(|message| message["content"].as_str())
+        .collect::<Vec<_>>()
+        .join("\n");
+    Some(Job {
+        prompt,
+        tokens: body["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS),
+        stream: body["stream"].as_bool().unwrap_or(false),
+        resume_from,
+    })
+}
+
+pub(super) async fn complete(engine: &Engine, req: Request<Incoming>) -> Response<Body> {
+    let Some(job) = read_job(req).await else {
+        let body = json!({ "error": "the body is not a chat request" });
+        return json_answer(StatusCode::BAD_REQUEST, &body);
+    };
+    tokio::time::sleep(engine.config.first_token).await;
+    if job.prompt.contains(KILLER) {
+        engine.kill();
+        // The connection drops with the engine's life.
+        std::future::pending::<()>().await;
+    }
+    if job.stream {
+        return stream_tokens(engine.clone(), job);
+    }
+    let gap = engine.config.token_gap * u32::try_from(job.tokens).unwrap_or(u32::MAX);
+    tokio::time::sleep(gap).await;
+    let body = json!({
+        "object": "chat.completion",
+        "choices": [{
+            "index": 0,
+            "message": { "role": "assistant", "content": expected_answer(&job.prompt, job.tokens) },
+            "finish_reason": "stop",
+        }],
+    });
+    json_answer(StatusCode::OK, &body)
+}
+
+fn stream_tokens(engine: Engine, job: Job) -> Response<Body> {
+    let start = job.resume_from;
+    let events = stream::unfold((engine, job, start), |(engine, job, index)| async move {
+        let data = if index < job.tokens {
+            pace(&engine, &job, index).await;
+            chunk(&job.prompt, index)
+        } else if index == job.tokens {
+            "data: [DONE]\n\n".to_string()
+        } else {
+            return None;
+        };
+        let frame = Frame::data(Bytes::from(data));
+        Some((Ok::<_, std::io::Error>(frame), (engine, job, index + 1)))
+    });
+    let mut res = answer(StatusCode::OK, "text/event-stream", "");
+    *res.body_mut() = BodyExt::boxed(StreamBody::new(SyncStream::new(events)));
+    res
+}
+
+async fn pace(engine: &Engine, job: &Job, index: u64) {
+    if index > job.resume_from {
+        tokio::time::sleep(engine.config.token_gap).await;
+    }
+    while engine.lock().stalled {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+fn chunk(prompt: &str, index: u64) -> String {
+    let body = json!({
+        "object": "chat.completion.chunk",
+        "choices": [{ "index": 0, "delta": { "content": token(prompt, index) } }],
+    });
+    format!("data: {body}\n\n")
+}
+
+/// Makes a stream shareable; it is only ever polled through a unique reference.
+struct SyncStream(std::sync::Mutex<std::pin::Pin<Box<dyn stream::Stream<Item = Item> + Send>>>);
+
+type Item = Result<Frame<Bytes>, std::io::Error>;
+
+impl SyncStream {
+    fn new(inner: impl stream::Stream<Item = Item> + Send + 'static) -> Self {
+        Self(std::sync::Mutex::new(Box::pin(inner)))
+    }
+}
+
+impl stream::Stream for SyncStream {
+    type Item = Item;
+
+    fn poll_next(
+        self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Item>> {
+        let inner = self.get_mut().0.get_mut().expect("no holder panics");
+        inner.as_mut().poll_next(cx)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform.rs
@@ -0,0 +1,284 @@
+//! The platform: objects with versions, and a list of instances that lags.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::http_server::Body;
+use crate::http_server::bind;
+use crate::http_server::json as json_answer;
+use crate::http_server::serve;
+
+/// Largest value of an object, in bytes.
+const MAX_VALUE_BYTES: usize = 1_000_000;
+/// Longest time that a watch waits.
+const MAX_WATCH: Duration = Duration::from_secs(60);
+
+/// An instance as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Instance {
+    /// Name of the process of wisteriawick there.
+    pub name: String,
+    /// `entry` or `agent`.
+    pub role: String,
+    /// The service that an agent's endpoint belongs to; empty for entries.
+    pub service: String,
+    /// The data centre.
+    pub place: String,
+    /// Address of the process for other processes.
+    pub address: String,
+    /// `live` or `leaving`.
+    pub state: String,
+}
+
+/// Faults of the platform, changed while it runs.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Every call is refused.
+    pub down: bool,
+    /// Every call waits this long first.
+    pub delay: Duration,
+    /// This many writes take effect but get no answer.
+    pub lose_answers: u32,
+    /// How long a change of the instance list takes to show.
+    pub list_lag: Duration,
+}
+
+/// Calls that the platform counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Calls {
+    /// Reads, with watches and lists.
+    pub reads: u64,
+    /// Writes and removals.
+    pub writes: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    objects: BTreeMap<String, (u64, Value)>,
+    /// Versions grow over the whole store.
+    last_version: u64,
+    faults: Faults,
+    calls: Calls,
+    /// Each list with the time from which it shows.
+    lists: Vec<(Instant, Vec<Instance>)>,
+}
+
+/// A running platform.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    addr: SocketAddr,
+    state: Arc<Mutex<State>>,
+    changed: watch::Sender<u64>,
+}
+
+impl Platform {
+    /// Starts a platform on a loopback port; zero lets the system choose.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the port is taken.
+    pub async fn start(port: u16, cx: CancellationToken) -> std::io::Result<Self> {
+        let (listener, addr) = bind(port).await?;
+        let platform = Self {
+            addr,
+            state: Arc::default(),
+            changed: watch::Sender::new(0),
+        };
+        let served = platform.clone();
+        tokio::spawn(serve(listener, cx, move |req| {
+            let platform = served.clone();
+            async move { platform.handle(req).await }
+        }));
+        Ok(platform)
+    }
+
+    /// Returns the address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Changes the faults.
+    pub fn set_faults(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.lock().faults);
+    }
+
+    /// Returns the calls counted so far.
+    pub fn calls(&self) -> Calls {
+        self.lock().calls
+    }
+
+    /// Replaces the instance list; it shows after the lag.
+    pub fn set_instances(&self, instances: Vec<Instance>) {
+        let mut state = self.lock();
+        let shows = Instant::now() + state.faults.list_lag;
+        state.lists.push((shows, instances));
+    }
+
+    /// Returns an object's version and value.
+    pub fn object(&self, name: &str) -> Option<(u64, Value)> {
+        self.lock().objects.get(name).cloned()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
+        let faults = self.lock().faults.clone();
+        if !faults.delay.is_zero() {
+            tokio::time::sleep(faults.delay).await;
+        }
+        if faults.down {
+            return error(StatusCode::SERVICE_UNAVAILABLE, "the service is down");
+        }
+        let path = req.uri().path().to_string();
+        let query = req.uri().query().unwrap_or_default().to_string();
+        if path == "/v1/instances" {
+            self.lock().calls.reads += 1;
+            return self.list();
+        }
+        let Some(name) = path.strip_prefix("/v1/objects/") else {
+            return error(StatusCode::NOT_FOUND, "no such path");
+        };
+        match *req.method() {
+            Method::GET => self.get(name, &query).await,
+            Method::PUT => self.put(name, &query, req).await,
+            Method::DELETE => self.delete(name, &query).await,
+            _ => error(StatusCode::METHOD_NOT_ALLOWED, "use GET, PUT or DELETE"),
+        }
+    }
+
+    fn list(&self) -> Response<Body> {
+        let now = Instant::now();
+        let state = self.lock();
+        let shown = state.lists.iter().rev().find(|(shows, _)| *shows <= now);
+        let instances = shown.map(|(_, list)| list.clone()).unwrap_or_default();
+        json_answer(StatusCode::OK, &json!({ "instances": instances }))
+    }
+
+    async fn get(&self, name: &str, query: &str) -> Response<Body> {
+        let after = number(query, "after");
+        let wait = Duration::from_millis(number(query, "wait_ms").unwrap_or(0)).min(MAX_WATCH);
+        let mut changed = self.changed.subscribe();
+        self.lock().calls.reads += 1;
+        let until = Instant::now() + wait;
+        loop {
+            changed.borrow_and_update();
+            let held = self.object(name);
+            match (held, after) {
+                (Some((version, value)), None) => {
+                    let body = json!({ "version": version, "value": value });
+                    return json_answer(StatusCode::OK, &body);
+                }
+                (Some((version, value)), Some(after)) if version > after => {
+                    let body = json!({ "version": version, "value": value });
+                    return json_answer(StatusCode::OK, &body);
+                }
+                (None, None) => return error(StatusCode::NOT_FOUND, "no such object"),
+                (_, Some(_)) => {}
+            }
+            let waited = tokio::time::timeout_at(until, changed.changed()).await;
+            if !matches!(waited, Ok(Ok(()))) {
+                return json_answer(StatusCode::OK, &json!({ "unchanged": true }));
+            }
+            if self.lock().faults.down {
+                return error(StatusCode::SERVICE_UNAVAILABLE, "the service is down");
+            }
+        }
+    }
+
+    async fn put(&self, name: &str, query: &str, req: Request<Incoming>) -> Response<Body> {
+        let body = Limited::new(req.into_body(), MAX_VALUE_BYTES);
+        let Ok(body) = body.collect().await.map(|b| b.to_bytes()) else {
+            return error(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "a value holds up to a megabyte",
+            );
+        };
+        let Ok(value) = serde_json::from_slice::<Value>(&body) else {
+            return error(StatusCode::BAD_REQUEST, "the value is not JSON");
+        };
+        let result = self.update(name, number(query, "if_version"), Some(value));
+        self.answer_write(result).await
+    }
+
+    async fn delete(&self, name: &str, query: &str) -> Response<Body> {
+        let result = self.update(name, number(query, "if_version"), None);
+        self.answer_write(result).await
+    }
+
+    fn update(
+        &self,
+        name: &str,
+        if_version: Option<u64>,
+        value: Option<Value>,
+    ) -> Result<u64, u64> {
+        let mut state = self.lock();
+        state.calls.writes += 1;
+        let held = state.objects.get(name).map_or(0, |(version, _)| *version);
+        if if_version.is_some_and(|expected| expected != held) {
+            return Err(held);
+        }
+        state.last_version += 1;
+        let version = state.last_version;
+        match value {
+            Some(value) => state.objects.insert(name.to_string(), (version, value)),
+            None => state.objects.remove(name),
+        };
+        drop(state);
+        self.changed.send_replace(version);
+        Ok(version)
+    }
+
+    async fn answer_write(&self, result: Result<u64, u64>) -> Response<Body> {
+        let lose = {
+            let faults = &mut self.lock().faults;
+            let lose = result.is_ok() && faults.lose_answers > 0;
+            faults.lose_answers -= u32::from(lose);
+            lose
+        };
+        if lose {
+            // The caller's own timeout ends this.
+            std::future::pending::<()>().await;
+        }
+        match result {
+            Ok(version) => json_answer(StatusCode::OK, &json!({ "version": version })),
+            Err(version) => json_answer(StatusCode::CONFLICT, &json!({ "version": version })),
+        }
+    }
+}
+
+fn error(status: StatusCode, message: &str) -> Response<Body> {
+    json_answer(status, &json!({ "error": message }))
+}
+
+fn number(query: &str, key: &str) -> Option<u64> {
+    query.split('&').find_map(|pair| {
+        let (name, value) = pair.split_once('=')?;
+        (name == key).then(|| value.parse().ok())?
+    })
+}
+
+/// Wraps a value as the platform answers it; for fakes of the same protocol.
+pub fn object_body(version: u64, value: &Value) -> Bytes {
+    Bytes::from(json!({ "version": version, "value": value }).to_string())
+}
--- /dev/null
+++ b/src/agent.rs
@@ -0,0 +1,104 @@
+//! The process beside an endpoint: the only one that gives it work.
+
+mod attempt;
+mod endpoint;
+mod gate_task;
+mod service;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use wisteriawick_core::time::SharedClock;
+
+pub use endpoint::Endpoint;
+pub(crate) use service::head_json;
+pub(crate) use service::put_head;
+
+use crate::agent::gate_task::GateHandle;
+use crate::error::Error;
+use crate::error::Result;
+use crate::link::Inbound;
+use crate::link::spawn_listener;
+use crate::node::LoadBoard;
+use crate::node::Node;
+use crate::settings::AgentSettings;
+use crate::settings::RoleSettings;
+use crate::settings::Settings;
+
+/// A running agent.
+#[derive(Clone, Debug)]
+pub struct Agent {
+    /// What it shares with its tasks.
+    pub node: Arc<Node>,
+    /// Where entries dial.
+    pub link_address: SocketAddr,
+    gate: GateHandle,
+    cx: CancellationToken,
+}
+
+impl Agent {
+    /// Starts an agent.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the settings are another role's, a file cannot be read or
+    /// the address is taken.
+    pub fn start(settings: &Settings, clock: SharedClock, cx: CancellationToken) -> Result<Self> {
+        let RoleSettings::Agent(role) = &settings.role else {
+            return Err(Error::Other(
+                "the settings are an entry's; state [agent]".into(),
+            ));
+        };
+        let board = LoadBoard::default();
+        let node = Node::new(settings, clock, Some(board.clone()))?;
+        let gate = GateHandle::spawn(Arc::clone(&node), board, role.service.clone(), cx.clone());
+        let endpoint = Endpoint::new(role.endpoint_address);
+        let (link_address, inbound) =
+            spawn_listener(Arc::clone(&node), settings.link_address, cx.clone())?;
+        spawn_tasks(&node, settings, role, &gate, endpoint, inbound, &cx);
+        Ok(Self {
+            node,
+            link_address,
+            gate,
+            cx,
+        })
+    }
+
+    /// Shuts down: refuses new work, finishes what runs, then stops.
+    pub async fn shut_down(&self) {
+        self.node.leave();
+        self.gate.drain().await;
+        self.cx.cancel();
+    }
+}
+
+fn spawn_tasks(
+    node: &Arc<Node>,
+    settings: &Settings,
+    role: &AgentSettings,
+    gate: &GateHandle,
+    endpoint: Endpoint,
+    inbound: mpsc::Receiver<Inbound>,
+    cx: &CancellationToken,
+) {
+    let tls = settings.tls.clone();
+    let reloading = Arc::clone(node);
+    let reload_cx = cx.clone();
+    tokio::spawn(async move { reloading.reload_tls(&tls, reload_cx).await });
+    tokio::spawn(endpoint::probe(endpoint.clone(), gate.clone(), cx.clone()));
+    tokio::spawn(service::follow_limits(
+        Arc::clone(node),
+        role.service.clone(),
+        gate.clone(),
+        cx.clone(),
+    ));
+    tokio::spawn(service::serve(
+        Arc::clone(node),
+        gate.clone(),
+        endpoint,
+        inbound,
+        cx.clone(),
+    ));
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,257 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+
+use crate::command;
+use crate::command::OperatorAccess;
+use crate::command::ticket;
+use crate::command::timeline::TimelineOptions;
+use crate::error::Error;
+use crate::error::Result;
+
+/// Exit code when a question was answered with no.
+const EXIT_NO: u8 = 1;
+/// Exit code when something failed.
+const EXIT_FAILED: u8 = 2;
+
+/// Load balancer for expert-parallel model groups
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// Runs an entry, which takes requests from callers
+    #[bpaf(command)]
+    Entry {
+        /// Settings file of the process
+        #[bpaf(argument("FILE"))]
+        config: PathBuf,
+    },
+    /// Runs an agent, which stands beside an endpoint
+    #[bpaf(command)]
+    Agent {
+        /// Settings file of the process
+        #[bpaf(argument("FILE"))]
+        config: PathBuf,
+    },
+    /// Checks a settings file
+    #[bpaf(command)]
+    Check {
+        /// Settings file of a process
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Change tickets
+    #[bpaf(command)]
+    Ticket(#[bpaf(external(ticket_command))] TicketCommand),
+    /// Shows what is alive and in force
+    #[bpaf(command)]
+    Status {
+        #[bpaf(external)]
+        access: Access,
+        /// Prints JSON
+        json: bool,
+    },
+    /// Shows the events of all processes in order
+    #[bpaf(command)]
+    Timeline {
+        #[bpaf(external)]
+        access: Access,
+        /// First event, in milliseconds since the Unix epoch
+        #[bpaf(argument("MS"), fallback(0))]
+        since: u64,
+        /// Prints new events as they come
+        follow: bool,
+        /// Prints one JSON object a line
+        json: bool,
+        /// Only events of this kind
+        #[bpaf(argument("KIND"), optional)]
+        kind: Option<String>,
+        /// Only events that concern this workspace
+        #[bpaf(argument("NAME"), optional)]
+        workspace: Option<String>,
+        /// Writes a page with a lane for each process instead
+        #[bpaf(argument("FILE"), optional)]
+        html: Option<PathBuf>,
+    },
+    /// Runs everything in one process on loopback, with stand-ins
+    #[cfg(feature = "dev")]
+    #[bpaf(command)]
+    Dev {
+        /// File with the sizes to bring up
+        #[bpaf(argument("FILE"), fallback(PathBuf::from("examples/cwmni.toml")))]
+        config: PathBuf,
+    },
+}
+
+#[derive(Clone, Debug, Bpaf)]
+struct Access {
+    /// An entry's operators' port, such as http://10.0.0.7:8081
+    #[bpaf(argument("URL"))]
+    entry: String,
+    /// File with the operator's token
+    #[bpaf(argument("FILE"))]
+    token_file: PathBuf,
+}
+
+#[derive(Clone, Debug, Bpaf)]
+enum TicketCommand {
+    /// Checks a directory of tickets; no process is needed
+    #[bpaf(command)]
+    Check {
+        /// Directory of tickets
+        #[bpaf(positional("DIR"))]
+        dir: PathBuf,
+    },
+    /// Has the tickets of a directory accepted, in number order
+    #[bpaf(command)]
+    Apply {
+        /// Address of the platform's object service
+        #[bpaf(argument("ADDRESS"))]
+        platform: SocketAddr,
+        /// Who applies them; kept with each ticket
+        #[bpaf(argument("NAME"))]
+        by: String,
+        /// Directory of tickets
+        #[bpaf(positional("DIR"))]
+        dir: PathBuf,
+    },
+    /// Compares a directory with what is accepted
+    #[bpaf(command)]
+    Diff {
+        /// Address of the platform's object service
+        #[bpaf(argument("ADDRESS"))]
+        platform: SocketAddr,
+        /// Directory of tickets
+        #[bpaf(positional("DIR"))]
+        dir: PathBuf,
+    },
+    /// Shows what is in force
+    #[bpaf(command)]
+    Show {
+        #[bpaf(external)]
+        access: Access,
+        /// Prints JSON
+        json: bool,
+    },
+    /// Shows where a ticket is in force
+    #[bpaf(command)]
+    Status {
+        #[bpaf(external)]
+        access: Access,
+        /// Prints JSON
+        json: bool,
+        /// Number of the ticket
+        #[bpaf(positional("NUMBER"))]
+        number: u64,
+    },
+    /// Prints the hash of an API key or token, read from standard input
+    #[bpaf(command("hash-key"))]
+    HashKey,
+}
+
+/// Runs the command line of this process.
+pub fn run() -> ExitCode {
+    let command = command().run();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("cannot start: {e}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+    match runtime.block_on(execute(command)) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(EXIT_NO),
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+async fn execute(command: Command) -> Result<bool> {
+    match command {
+        Command::Entry { config } => command::run::entry(&config).await?,
+        Command::Agent { config } => command::run::agent(&config).await?,
+        Command::Check { file } => command::check::run(&file)?,
+        Command::Ticket(command) => return execute_ticket(command).await,
+        Command::Status { access, json } => {
+            command::status::run(&access.read()?, json).await?;
+        }
+        Command::Timeline {
+            access,
+            since,
+            html: Some(file),
+            ..
+        } => command::timeline::write_html(&access.read()?, since, &file).await?,
+        Command::Timeline {
+            access,
+            since,
+            follow,
+            json,
+            kind,
+            workspace,
+            html: None,
+        } => {
+            let options = TimelineOptions {
+                since_ms: since,
+                follow,
+                json,
+                kind,
+                workspace,
+            };
+            command::timeline::run(&access.read()?, &options).await?;
+        }
+        #[cfg(feature = "dev")]
+        Command::Dev { config } => command::dev::run(&config).await?,
+    }
+    Ok(true)
+}
+
+async fn execute_ticket(command: TicketCommand) -> Result<bool> {
+    match command {
+        TicketCommand::Check { dir } => ticket::check(&dir)?,
+        TicketCommand::Apply { platform, by, dir } => {
+            ticket::apply(&dir, &ticket::platform_client(platform), &by).await?;
+        }
+        TicketCommand::Diff { platform, dir } => {
+            return ticket::diff(&dir, &ticket::platform_client(platform)).await;
+        }
+        TicketCommand::Show { access, json } => ticket::show(&access.read()?, json).await?,
+        TicketCommand::Status {
+            access,
+            json,
+            number,
+        } => return ticket::status(&access.read()?, number, json).await,
+        TicketCommand::HashKey => hash_key()?,
+    }
+    Ok(true)
+}
+
+fn hash_key() -> Result<()> {
+    let mut key = String::new();
+    std::io::stdin()
+        .read_line(&mut key)
+        .map_err(|e| Error::Other(format!("standard input: {e}")))?;
+    let key = key.trim();
+    if key.is_empty() {
+        return Err(Error::Other("no key; write it to standard input".into()));
+    }
+    let hash = wisteriawick_core::fleet::KeyHash::new(key);
+    println!("{}", hash.to_hex());
+    Ok(())
+}
+
+impl Access {
+    fn read(&self) -> Result<OperatorAccess> {
+        let token =
+            std::fs::read_to_string(&self.token_file).map_err(Error::file(&self.token_file))?;
+        Ok(OperatorAccess {
+            url: self.entry.trim_end_matches('/').to_string(),
+            token: token.trim().to_string(),
+        })
+    }
+}
--- /dev/null
+++ b/src/command.rs
@@ -0,0 +1,12 @@
+//! What the subcommands do.
+
+pub mod check;
+#[cfg(feature = "dev")]
+pub mod dev;
+mod operator;
+pub mod run;
+pub mod status;
+pub mod ticket;
+pub mod timeline;
+
+pub use operator::OperatorAccess;
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,189 @@
+//! A thin instance behind the platform's balancer: takes callers' requests,
+//! chooses runners, relays answers.
+
+mod call_task;
+mod caller;
+mod directory;
+mod http_api;
+mod inbound;
+mod ledger_client;
+mod ledger_task;
+mod ops_api;
+mod router_task;
+mod watcher;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use salvo::conn::Acceptor;
+use salvo::conn::Listener;
+use salvo::conn::TcpListener;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::server::ServerHandle;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use wisteriawick_core::time::SharedClock;
+
+pub(crate) use watcher::HEAD_OBJECT;
+
+use crate::entry::directory::Directory;
+use crate::entry::directory::LinkTable;
+use crate::entry::ledger_client::LedgerClient;
+use crate::entry::ledger_task::LedgerHandle;
+use crate::entry::router_task::RouterHandle;
+use crate::error::Error;
+use crate::error::Result;
+use crate::link::spawn_listener;
+use crate::node::Node;
+use crate::platform::PlatformClient;
+use crate::settings::EntrySettings;
+use crate::settings::RoleSettings;
+use crate::settings::Settings;
+
+/// Pause between ceasing to be ready and ceasing to accept, so that the
+/// platform's balancer has noticed.
+const NOTICE: Duration = Duration::from_millis(500);
+
+/// What the tasks of an entry share.
+#[derive(Debug)]
+pub(crate) struct EntryContext {
+    pub(crate) node: Arc<Node>,
+    pub(crate) router: RouterHandle,
+    pub(crate) ledger: LedgerClient,
+    pub(crate) links: watch::Receiver<LinkTable>,
+    pub(crate) ops: EntrySettings,
+    pub(crate) metrics: Option<PrometheusHandle>,
+    /// Calls under way; a shutdown waits for them.
+    pub(crate) calls: TaskTracker,
+}
+
+/// A running entry.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// What it shares with its tasks.
+    pub node: Arc<Node>,
+    /// Where other processes dial.
+    pub link_address: SocketAddr,
+    /// Where callers connect.
+    pub http_address: SocketAddr,
+    /// Where operators connect.
+    pub ops_address: SocketAddr,
+    context: Arc<EntryContext>,
+    http: ServerHandle,
+    ops: ServerHandle,
+    cx: CancellationToken,
+}
+
+impl Entry {
+    /// Starts an entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the settings are another role's, a file cannot be read or
+    /// an address is taken.
+    pub async fn start(
+        settings: &Settings,
+        clock: SharedClock,
+        metrics: Option<PrometheusHandle>,
+        cx: CancellationToken,
+    ) -> Result<Self> {
+        let RoleSettings::Entry(role) = &settings.role else {
+            return Err(Error::Other(
+                "the settings are an agent's; state [entry]".into(),
+            ));
+        };
+        let node = Node::new(settings, clock, None)?;
+        let platform = PlatformClient::new(&settings.platform, Arc::clone(&node.clock));
+        let (link_address, inbound) =
+            spawn_listener(Arc::clone(&node), settings.link_address, cx.clone())?;
+        let router = RouterHandle::spawn(Arc::clone(&node), cx.clone());
+        let links = Directory::spawn(
+            Arc::clone(&node),
+            platform.clone(),
+            settings.platform.list_every,
+            router.clone(),
+            cx.clone(),
+        );
+        let local = LedgerHandle::spawn(Arc::clone(&node), platform.clone(), cx.clone());
+        let ledger = LedgerClient::new(Arc::clone(&node), local.clone(), links.clone());
+        let context = Arc::new(EntryContext {
+            node: Arc::clone(&node),
+            router,
+            ledger,
+            links,
+            ops: role.clone(),
+            metrics,
+            calls: TaskTracker::new(),
+        });
+        tokio::spawn(inbound::serve(
+            Arc::clone(&node),
+            local,
+            inbound,
+            cx.clone(),
+        ));
+        tokio::spawn(watcher::run(Arc::clone(&node), platform, cx.clone()));
+        let tls = settings.tls.clone();
+        let reloading = Arc::clone(&node);
+        let reload_cx = cx.clone();
+        tokio::spawn(async move { reloading.reload_tls(&tls, reload_cx).await });
+
+        let (http_address, http) =
+            serve(role.http_address, http_api::routes(Arc::clone(&context))).await?;
+        let (ops_address, ops) =
+            serve(role.ops_address, ops_api::routes(Arc::clone(&context))).await?;
+        Ok(Self {
+            node,
+            link_address,
+            http_address,
+            ops_address,
+            context,
+            http,
+            ops,
+            cx,
+        })
+    }
+
+    /// Waits until links to this many agents are open.
+    pub async fn linked_to(&self, agents: usize) {
+        let mut links = self.context.links.clone();
+        // The directory lives as long as the entry.
+        let _ = links
+            .wait_for(|table| table.linked_agents() >= agents)
+            .await;
+    }
+
+    /// Shuts down: stops being ready, stops accepting, finishes everything in
+    /// progress, then stops.
+    pub async fn shut_down(&self) {
+        self.node.leave();
+        tokio::time::sleep(NOTICE).await;
+        self.http.stop_graceful(None);
+        self.context.calls.close();
+        self.context.calls.wait().await;
+        self.ops.stop_graceful(Duration::from_millis(100));
+        self.cx.cancel();
+    }
+}
+
+async fn serve(address: SocketAddr, routes: salvo::Router) -> Result<(SocketAddr, ServerHandle)> {
+    let listen_error = |message: String| Error::Listen {
+        address: address.to_string(),
+        message,
+    };
+    let acceptor: TcpAcceptor = TcpListener::new(address)
+        .try_bind()
+        .await
+        .map_err(|e| listen_error(e.to_string()))?;
+    let bound = acceptor
+        .holdings()
+        .first()
+        .and_then(|holding| holding.local_addr.clone().into_std())
+        .ok_or_else(|| listen_error("no local address".into()))?;
+    let server = salvo::Server::new(acceptor);
+    let handle = server.handle();
+    tokio::spawn(server.serve(routes));
+    Ok((bound, handle))
+}
--- /dev/null
+++ b/src/entry/inbound.rs
@@ -0,0 +1,88 @@
+//! Answers the streams that other entries open to this one.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use wisteriawick_core::ids::Fingerprint;
+use wisteriawick_core::ledger::Claim;
+use wisteriawick_core::ledger::ClaimId;
+use wisteriawick_core::ledger::KeyDigest;
+
+use crate::agent::head_json;
+use crate::agent::put_head;
+use crate::command::status::ProcessStatus;
+use crate::entry::ledger_task::LedgerHandle;
+use crate::entry::ledger_task::LedgerRequest;
+use crate::link::Inbound;
+use crate::link::Open;
+use crate::link::Reply;
+use crate::node::Node;
+
+/// Takes streams until the token is cancelled.
+pub(crate) async fn serve(
+    node: Arc<Node>,
+    ledger: LedgerHandle,
+    mut inbound: mpsc::Receiver<Inbound>,
+    cx: CancellationToken,
+) {
+    loop {
+        let stream = tokio::select! {
+            stream = inbound.recv() => stream,
+            () = cx.cancelled() => return,
+        };
+        let Some(stream) = stream else {
+            return;
+        };
+        let (node, ledger) = (Arc::clone(&node), ledger.clone());
+        tokio::spawn(async move { answer(&node, &ledger, stream).await });
+    }
+}
+
+async fn answer(node: &Arc<Node>, ledger: &LedgerHandle, stream: Inbound) {
+    let Inbound { open, mut tx, .. } = stream;
+    let reply = match open {
+        Open::PutHead(json) => put_head(node, &json),
+        Open::GetHead => Reply::Config(head_json(node)),
+        Open::Events(since) => Reply::Timeline(node.timeline.since(since.into())),
+        Open::Status => Reply::Status(ProcessStatus::of(node).to_json()),
+        Open::Hello(_) | Open::Attempt(_) | Open::Cancel(_) | Open::Recover(_) => {
+            Reply::Failed("an entry does not answer this".into())
+        }
+        other => match ledger_request(node, other) {
+            Some(request) => Reply::Ledger((&ledger.ask(request).await).into()),
+            None => Reply::Failed("an entry does not answer this".into()),
+        },
+    };
+    // The peer asks again when it gets no reply.
+    let _ = tx.write(&reply).await;
+    tx.finish();
+}
+
+fn ledger_request(node: &Node, open: Open) -> Option<LedgerRequest> {
+    let now = node.clock.now();
+    match open {
+        Open::Claim(wire) => Some(LedgerRequest::Claim(Claim {
+            key: KeyDigest(wire.key),
+            body: Fingerprint(wire.body),
+            id: ClaimId(wire.claim),
+            expires_s: wire.expires_s,
+            deadline: now + Duration::from_micros(wire.remaining_us),
+        })),
+        Open::Settle { key, claim, answer } => Some(LedgerRequest::Settle {
+            key: KeyDigest(key),
+            claim: ClaimId(claim),
+            answer: answer.into(),
+        }),
+        Open::Release { key, claim } => Some(LedgerRequest::Release {
+            key: KeyDigest(key),
+            claim: ClaimId(claim),
+        }),
+        Open::Lookup { key, remaining_us } => Some(LedgerRequest::Lookup {
+            key: KeyDigest(key),
+            deadline: now + Duration::from_micros(remaining_us),
+        }),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,46 @@
+//! Log lines through `log` and `fern`, as text or JSON.
+
+use std::time::SystemTime;
+
+use wisteriawick_core::time::unix_millis;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::settings::LogFormat;
+
+/// Sends log lines of this process to standard error.
+///
+/// # Errors
+///
+/// Fails when the process logs already.
+pub fn init(process: &str, format: LogFormat, level: log::LevelFilter) -> Result<()> {
+    let process = process.to_string();
+    fern::Dispatch::new()
+        .level(level)
+        // Libraries' lines are not changes of our state.
+        .level_for("quinn", log::LevelFilter::Warn)
+        .level_for("quinn_proto", log::LevelFilter::Error)
+        .level_for("rustls", log::LevelFilter::Warn)
+        .level_for("salvo_core", log::LevelFilter::Warn)
+        .format(move |out, message, record| {
+            let millis = unix_millis(SystemTime::now());
+            match format {
+                LogFormat::Text => out.finish(format_args!(
+                    "{millis} {process} {} {message}",
+                    record.level()
+                )),
+                LogFormat::Json => {
+                    let line = serde_json::json!({
+                        "millis": millis,
+                        "process": process,
+                        "level": record.level().as_str(),
+                        "message": message.to_string(),
+                    });
+                    out.finish(format_args!("{line}"));
+                }
+            }
+        })
+        .chain(std::io::stderr())
+        .apply()
+        .map_err(|e| Error::Other(format!("logging: {e}; start it once")))
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,9 @@
-//! Stub.
-fn main() {}
+//! The binary of wisteriawick.
+
+use std::process::ExitCode;
+
+use wisteriawick::cli;
+
+fn main() -> ExitCode {
+    cli::run()
+}
--- /dev/null
+++ b/src/node/config.rs
@@ -0,0 +1,96 @@
+//! The tickets in force in this process.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use metrics::gauge;
+use tokio::sync::watch;
+use wisteriawick_core::event::EventKind;
+use wisteriawick_core::fleet::Fleet;
+use wisteriawick_core::ids::TicketNumber;
+use wisteriawick_core::ticket::Adoption;
+use wisteriawick_core::ticket::Head;
+use wisteriawick_core::ticket::TicketBook;
+use wisteriawick_core::time::SharedClock;
+
+use crate::link::Beat;
+use crate::telemetry::TICKET_IN_FORCE;
+use crate::timeline::Timeline;
+
+/// Age of the last confirmation beyond which a process is not ready.
+const CONFIRMATION_BOUND: Duration = Duration::from_secs(16);
+
+/// A handle to the book of tickets; changes reach every subscriber.
+#[derive(Clone, Debug)]
+pub struct ConfigStore {
+    book: Arc<watch::Sender<TicketBook>>,
+    timeline: Timeline,
+    clock: SharedClock,
+}
+
+impl ConfigStore {
+    pub(crate) fn new(timeline: Timeline, clock: SharedClock) -> Self {
+        Self {
+            book: Arc::new(watch::Sender::new(TicketBook::new())),
+            timeline,
+            clock,
+        }
+    }
+
+    /// Takes a head from the platform or a peer.
+    pub fn offer(&self, head: &Arc<Head>) -> Adoption {
+        let now = self.clock.now();
+        let mut adoption = Adoption::Older;
+        self.book.send_if_modified(|book| {
+            adoption = book.offer(now, head);
+            adoption == Adoption::Adopted
+        });
+        match adoption {
+            Adoption::Adopted => {
+                gauge!(TICKET_IN_FORCE).set(head.number.0 as f64);
+                self.timeline.record(EventKind::TicketInForce(head.number));
+            }
+            Adoption::Conflict => log::error!(
+                "ticket {} is in force here with another history; keep one object service for all",
+                head.number
+            ),
+            Adoption::Confirmed | Adoption::Older => {}
+        }
+        adoption
+    }
+
+    /// Takes the digest of a heartbeat; returns whether the peer has a newer head.
+    pub fn compare(&self, now: Instant, beat: &Beat) -> bool {
+        let mut newer = false;
+        self.book.send_if_modified(|book| {
+            newer = book.compare(now, TicketNumber(beat.ticket), beat.tag);
+            false
+        });
+        newer
+    }
+
+    /// Returns a copy of the book.
+    pub fn book(&self) -> TicketBook {
+        self.book.borrow().clone()
+    }
+
+    /// Returns what the operators declared; empty before the first head.
+    pub fn fleet(&self) -> Arc<Fleet> {
+        let book = self.book.borrow();
+        book.head()
+            .map(|head| Arc::clone(&head.fleet))
+            .unwrap_or_default()
+    }
+
+    /// Returns whether the process may serve by what is in force.
+    pub fn is_fresh(&self) -> bool {
+        let now = self.clock.now();
+        self.book.borrow().is_fresh(now, CONFIRMATION_BOUND)
+    }
+
+    /// Returns a receiver that changes whenever a head comes into force.
+    pub fn subscribe(&self) -> watch::Receiver<TicketBook> {
+        self.book.subscribe()
+    }
+}
--- /dev/null
+++ b/src/platform/client.rs
@@ -0,0 +1,290 @@
+//! Calls to the platform over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use metrics::counter;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use wisteriawick_core::membership::Listed;
+use wisteriawick_core::time::SharedClock;
+
+use crate::platform::PlatformError;
+use crate::platform::rate::RateLimit;
+use crate::platform::wire::InstancesWire;
+use crate::platform::wire::ObjectWire;
+use crate::settings::PlatformSettings;
+use crate::telemetry::PLATFORM_CALLS;
+
+/// Largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// An object with its version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Object<T> {
+    /// Grows with each write.
+    pub version: u64,
+    /// The content.
+    pub value: T,
+}
+
+/// A client of the platform's object service.
+#[derive(Clone, Debug)]
+pub struct PlatformClient {
+    address: SocketAddr,
+    timeout: Duration,
+    http: Client<HttpConnector, Full<Bytes>>,
+    limit: Arc<Mutex<RateLimit>>,
+    clock: SharedClock,
+}
+
+#[derive(Clone, Copy)]
+enum Operation {
+    Read,
+    Watch,
+    Write,
+    List,
+}
+
+impl Operation {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Watch => "watch",
+            Self::Write => "write",
+            Self::List => "list",
+        }
+    }
+}
+
+impl PlatformClient {
+    /// Returns a client; nothing is sent yet.
+    pub fn new(settings: &PlatformSettings, clock: SharedClock) -> Self {
+        let limit = RateLimit::new(settings.max_calls_per_s, clock.now());
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(settings.timeout));
+        Self {
+            address: settings.address,
+            timeout: settings.timeout,
+            http: Client::builder(TokioExecutor::new())
+                // A write must not be sent twice behind our back.
+                .retry_canceled_requests(false)
+                .build(connector),
+            limit: Arc::new(Mutex::new(limit)),
+            clock,
+        }
+    }
+
+    /// Reads an object; `None` when it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer or its answer cannot be read.
+    pub async fn read<T: DeserializeOwned>(
+        &self,
+        name: &str,
+    ) -> Result<Option<Object<T>>, PlatformError> {
+        let path = format!("/v1/objects/{name}");
+        let (status, body) = self
+            .call(
+                Operation::Read,
+                Method::GET,
+                &path,
+                Bytes::new(),
+                self.timeout,
+            )
+            .await?;
+        match status {
+            StatusCode::OK => parse_object(&body),
+            StatusCode::NOT_FOUND => Ok(None),
+            status => Err(unexpected(status, &body)),
+        }
+    }
+
+    /// Waits until an object has a version above `after`; `None` when it has
+    /// not within the wait.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer or its answer cannot be read.
+    pub async fn watch<T: DeserializeOwned>(
+        &self,
+        name: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Option<Object<T>>, PlatformError> {
+        let wait_ms = wait.as_millis();
+        let path = format!("/v1/objects/{name}?after={after}&wait_ms={wait_ms}");
+        let (status, body) = self
+            .call(
+                Operation::Watch,
+                Method::GET,
+                &path,
+                Bytes::new(),
+                wait + self.timeout,
+            )
+            .await?;
+        match status {
+            StatusCode::OK => parse_object(&body),
+            status => Err(unexpected(status, &body)),
+        }
+    }
+
+    /// Writes an object if it has the version given; zero: if it does not exist.
+    ///
+    /// Returns the new version.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError::Conflict`] and [`PlatformError::Refused`] mean that
+    /// nothing changed; [`PlatformError::UnknownOutcome`] that it may have.
+    pub async fn write<T: Serialize>(
+        &self,
+        name: &str,
+        if_version: u64,
+        value: &T,
+    ) -> Result<u64, PlatformError> {
+        let body =
+            serde_json::to_vec(value).map_err(|e| PlatformError::Refused(format!("value: {e}")))?;
+        let path = format!("/v1/objects/{name}?if_version={if_version}");
+        self.change(Method::PUT, &path, body.into()).await
+    }
+
+    /// Removes an object if it has the version given.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::write`].
+    pub async fn remove(&self, name: &str, if_version: u64) -> Result<u64, PlatformError> {
+        let path = format!("/v1/objects/{name}?if_version={if_version}");
+        self.change(Method::DELETE, &path, Bytes::new()).await
+    }
+
+    /// Reads the list of instances, which lags.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer or its answer cannot be read.
+    pub async fn instances(&self) -> Result<Vec<Listed>, PlatformError> {
+        let (status, body) = self
+            .call(
+                Operation::List,
+                Method::GET,
+                "/v1/instances",
+                Bytes::new(),
+                self.timeout,
+            )
+            .await?;
+        if status != StatusCode::OK {
+            return Err(unexpected(status, &body));
+        }
+        let list: InstancesWire = parse(&body)?;
+        list.instances.into_iter().map(TryInto::try_into).collect()
+    }
+
+    async fn change(&self, method: Method, path: &str, body: Bytes) -> Result<u64, PlatformError> {
+        let (status, body) = self
+            .call(Operation::Write, method, path, body, self.timeout)
+            .await?;
+        let version = || -> Result<u64, PlatformError> {
+            let wire: ObjectWire = parse(&body)?;
+            wire.version
+                .ok_or_else(|| PlatformError::Malformed("no version".into()))
+        };
+        match status {
+            StatusCode::OK => version(),
+            StatusCode::CONFLICT => Err(PlatformError::Conflict {
+                version: version()?,
+            }),
+            status => Err(unexpected(status, &body)),
+        }
+    }
+
+    async fn call(
+        &self,
+        operation: Operation,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), PlatformError> {
+        let wait = {
+            let mut limit = self.limit.lock().expect("no holder panics");
+            limit.reserve(self.clock.now())
+        };
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+        let result = tokio::time::timeout(timeout, self.exchange(method, path, body)).await;
+        let result = match result {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(message)) => Err(message),
+            Err(_) => Err("no answer in time".to_string()),
+        };
+        let label = if result.is_ok() { "answered" } else { "failed" };
+        counter!(PLATFORM_CALLS, "operation" => operation.name(), "result" => label).increment(1);
+        result.map_err(|message| match operation {
+            Operation::Write => PlatformError::UnknownOutcome(message),
+            Operation::Read | Operation::Watch | Operation::List => {
+                PlatformError::Unavailable(message)
+            }
+        })
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), String> {
+        let req = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|e| e.to_string())?;
+        let res = self.http.request(req).await.map_err(|e| e.to_string())?;
+        let status = res.status();
+        let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(|e| e.to_string())?
+            .to_bytes();
+        Ok((status, body))
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+    serde_json::from_slice(body).map_err(|e| PlatformError::Malformed(e.to_string()))
+}
+
+fn parse_object<T: DeserializeOwned>(body: &[u8]) -> Result<Option<Object<T>>, PlatformError> {
+    let wire: ObjectWire = parse(body)?;
+    let (Some(version), Some(value)) = (wire.version, wire.value) else {
+        return Ok(None);
+    };
+    let value = parse(value.get().as_bytes())?;
+    Ok(Some(Object { version, value }))
+}
+
+fn unexpected(status: StatusCode, body: &[u8]) -> PlatformError {
+    let text = String::from_utf8_lossy(&body[..body.len().min(200)]).to_string();
+    if status.is_server_error() {
+        PlatformError::Unavailable(format!("{status}: {text}"))
+    } else {
+        PlatformError::Refused(format!("{status}: {text}"))
+    }
+}
--- /dev/null
+++ b/src/platform/wire.rs
@@ -0,0 +1,62 @@
+//! Wire types of the platform's protocol.
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::value::RawValue;
+use wisteriawick_core::ids::PlaceId;
+use wisteriawick_core::ids::ProcessId;
+use wisteriawick_core::ids::ServiceId;
+use wisteriawick_core::membership::Listed;
+use wisteriawick_core::membership::Role;
+
+use crate::platform::PlatformError;
+
+#[derive(Debug, Deserialize)]
+pub(crate) struct ObjectWire {
+    pub(crate) version: Option<u64>,
+    pub(crate) value: Option<Box<RawValue>>,
+}
+
+#[derive(Debug, Deserialize)]
+pub(crate) struct InstancesWire {
+    pub(crate) instances: Vec<InstanceWire>,
+}
+
+/// An instance as the platform lists it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct InstanceWire {
+    /// Name of the process of wisteriawick there.
+    pub name: String,
+    /// `entry` or `agent`.
+    pub role: String,
+    /// The service that an agent's endpoint belongs to.
+    pub service: String,
+    /// The data centre.
+    pub place: String,
+    /// Address of the process for other processes.
+    pub address: String,
+    /// `live` or `leaving`.
+    pub state: String,
+}
+
+impl TryFrom<InstanceWire> for Listed {
+    type Error = PlatformError;
+
+    fn try_from(wire: InstanceWire) -> Result<Self, PlatformError> {
+        let role = match wire.role.as_str() {
+            "entry" => Role::Entry,
+            "agent" => Role::Agent(ServiceId::new(wire.service)),
+            other => {
+                let message = format!("instance {} has the role {other:?}", wire.name);
+                return Err(PlatformError::Malformed(message));
+            }
+        };
+        Ok(Self {
+            id: ProcessId::new(wire.name),
+            role,
+            place: PlaceId::new(wire.place),
+            address: wire.address,
+            leaving: wire.state == "leaving",
+        })
+    }
+}
--- /dev/null
+++ b/src/settings/wire.rs
@@ -0,0 +1,194 @@
+//! The settings file as it is written.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde::Deserialize;
+use wisteriawick_core::fleet::KeyHash;
+use wisteriawick_core::ids::PlaceId;
+use wisteriawick_core::ids::ProcessId;
+use wisteriawick_core::ids::ServiceId;
+
+use crate::settings::AgentSettings;
+use crate::settings::EntrySettings;
+use crate::settings::LogFormat;
+use crate::settings::PlatformSettings;
+use crate::settings::RoleSettings;
+use crate::settings::Settings;
+use crate::settings::TlsSettings;
+
+/// A value that cannot be taken.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{key}: {problem}; {remedy}")]
+pub(crate) struct SettingsProblem {
+    pub(crate) key: &'static str,
+    problem: String,
+    remedy: &'static str,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct SettingsWire {
+    name: String,
+    place: String,
+    link_address: String,
+    platform: PlatformWire,
+    tls: TlsWire,
+    #[serde(default)]
+    log: LogWire,
+    entry: Option<EntryWire>,
+    agent: Option<AgentWire>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PlatformWire {
+    address: String,
+    #[serde(default = "default_timeout_ms")]
+    timeout_ms: u64,
+    #[serde(default = "default_max_calls_per_s")]
+    max_calls_per_s: u32,
+    #[serde(default = "default_list_every_ms")]
+    list_every_ms: u64,
+}
+
+fn default_timeout_ms() -> u64 {
+    1_000
+}
+
+fn default_max_calls_per_s() -> u32 {
+    100
+}
+
+fn default_list_every_ms() -> u64 {
+    2_000
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TlsWire {
+    ca_file: PathBuf,
+    cert_file: PathBuf,
+    key_file: PathBuf,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LogWire {
+    #[serde(default)]
+    format: LogFormatWire,
+    #[serde(default)]
+    level: LogLevelWire,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum LogFormatWire {
+    #[default]
+    Text,
+    Json,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum LogLevelWire {
+    Error,
+    Warn,
+    #[default]
+    Info,
+    Debug,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct EntryWire {
+    http_address: String,
+    ops_address: String,
+    ops_token_hashes: Vec<String>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AgentWire {
+    service: String,
+    endpoint_address: String,
+}
+
+fn address(key: &'static str, text: &str) -> Result<SocketAddr, SettingsProblem> {
+    text.parse().map_err(|_| SettingsProblem {
+        key,
+        problem: format!("{text:?} is no address"),
+        remedy: "state an IP number and a port, such as 10.0.0.7:7001",
+    })
+}
+
+impl TryFrom<SettingsWire> for Settings {
+    type Error = SettingsProblem;
+
+    fn try_from(wire: SettingsWire) -> Result<Self, SettingsProblem> {
+        let role = role(wire.entry, wire.agent)?;
+        Ok(Self {
+            name: ProcessId::new(wire.name),
+            place: PlaceId::new(wire.place),
+            link_address: address("link_address", &wire.link_address)?,
+            platform: PlatformSettings {
+                address: address("platform.address", &wire.platform.address)?,
+                timeout: Duration::from_millis(wire.platform.timeout_ms.max(1)),
+                max_calls_per_s: wire.platform.max_calls_per_s.max(1),
+                list_every: Duration::from_millis(wire.platform.list_every_ms.max(100)),
+            },
+            tls: TlsSettings {
+                ca_file: wire.tls.ca_file,
+                cert_file: wire.tls.cert_file,
+                key_file: wire.tls.key_file,
+            },
+            log_format: match wire.log.format {
+                LogFormatWire::Text => LogFormat::Text,
+                LogFormatWire::Json => LogFormat::Json,
+            },
+            log_level: match wire.log.level {
+                LogLevelWire::Error => log::LevelFilter::Error,
+                LogLevelWire::Warn => log::LevelFilter::Warn,
+                LogLevelWire::Info => log::LevelFilter::Info,
+                LogLevelWire::Debug => log::LevelFilter::Debug,
+            },
+            role,
+        })
+    }
+}
+
+fn role(
+    entry: Option<EntryWire>,
+    agent: Option<AgentWire>,
+) -> Result<RoleSettings, SettingsProblem> {
+    match (entry, agent) {
+        (Some(entry), None) => Ok(RoleSettings::Entry(EntrySettings {
+            http_address: address("entry.http_address", &entry.http_address)?,
+            ops_address: address("entry.ops_address", &entry.ops_address)?,
+            ops_token_hashes: token_hashes(&entry.ops_token_hashes)?,
+        })),
+        (None, Some(agent)) => Ok(RoleSettings::Agent(AgentSettings {
+            service: ServiceId::new(agent.service),
+            endpoint_address: address("agent.endpoint_address", &agent.endpoint_address)?,
+        })),
+        _ => Err(SettingsProblem {
+            key: "entry",
+            problem: "the role is not clear".into(),
+            remedy: "state either [entry] or [agent]",
+        }),
+    }
+}
+
+fn token_hashes(texts: &[String]) -> Result<Vec<KeyHash>, SettingsProblem> {
+    texts
+        .iter()
+        .map(|hex| {
+            KeyHash::try_from_hex(hex).ok_or_else(|| SettingsProblem {
+                key: "entry.ops_token_hashes",
+                problem: format!("{hex:?} is not a BLAKE3 hash"),
+                remedy: "print one with `wisteriawick ticket hash-key`",
+            })
+        })
+        .collect()
+}
