--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -117,8 +117,8 @@
         attempt: AttemptId,
         /// Where it goes.
         runner: RunnerId,
-        /// Whether it must run alone.
-        exclusive: bool,
+        /// Whether it must be the only suspect on its runner.
+        suspect: bool,
     },
     /// The router gives the request up.
     Rejected(Rejection),
@@ -134,6 +134,8 @@
     Answered(AttemptId, Answer),
     /// The endpoint failed; the attempt may have run.
     EndpointFailed(AttemptId),
+    /// The endpoint closed the connection without an answer: it died.
+    EndpointDied(AttemptId),
     /// The link to the agent closed.
     LinkLost {
         /// The attempt.
@@ -170,8 +172,8 @@
         attempt: AttemptId,
         /// Where to.
         runner: RunnerId,
-        /// Whether it must run alone.
-        exclusive: bool,
+        /// Whether it must be the only suspect on its runner.
+        suspect: bool,
         /// Events of the answer that the caller has already.
         resume_from: u64,
     },
--- a/crates/core/src/call/core.rs
+++ b/crates/core/src/call/core.rs
@@ -75,15 +75,16 @@
             Input::Dispatched {
                 attempt,
                 runner,
-                exclusive,
-            } => self.dispatched(now, attempt, runner, exclusive, out),
+                suspect,
+            } => self.dispatched(now, attempt, runner, suspect, out),
             Input::Rejected(rejection) => self.rejected(rejection, out),
             Input::Refused(attempt, refusal) => self.refused(attempt, refusal, out),
             Input::Head(attempt) => self.head(attempt, out),
             Input::Event(attempt, position) => self.event(attempt, position, out),
             Input::EndOfStream(attempt, events) => self.end_of_stream(now, attempt, events, out),
             Input::Answered(attempt, answer) => self.answered(now, attempt, answer, out),
-            Input::EndpointFailed(attempt) => self.failed(attempt, out),
+            Input::EndpointFailed(attempt) => self.failed(attempt, AttemptResult::Unknown, out),
+            Input::EndpointDied(attempt) => self.failed(attempt, AttemptResult::Died, out),
             Input::LinkLost { attempt, sent } => self.link_lost(attempt, sent, out),
             Input::Stalled(attempt) => self.stalled(attempt, out),
             Input::Deadline => self.deadline(out),
@@ -161,7 +162,7 @@
         now: Instant,
         attempt: AttemptId,
         runner: RunnerId,
-        exclusive: bool,
+        suspect: bool,
         out: &mut Vec<Output>,
     ) {
         if self.state != State::Queued {
@@ -177,7 +178,7 @@
         out.push(Output::Send {
             attempt,
             runner,
-            exclusive,
+            suspect,
             resume_from: self.relayed,
         });
     }
@@ -224,11 +225,8 @@
         }
         let result = match refusal {
             Refusal::Busy => AttemptResult::Busy,
-            Refusal::Leaving
-            | Refusal::EndpointDown
-            | Refusal::Late
-            | Refusal::OtherIncarnation
-            | Refusal::Seen => AttemptResult::NotRun,
+            Refusal::Leaving | Refusal::EndpointDown => AttemptResult::Down,
+            Refusal::Late | Refusal::OtherIncarnation | Refusal::Seen => AttemptResult::NotRun,
         };
         self.again(attempt, result, out);
     }
@@ -270,7 +268,7 @@
         }
         if position > self.relayed {
             out.push(Output::Cancel(attempt, run.runner));
-            self.failed(attempt, out);
+            self.failed(attempt, AttemptResult::Unknown, out);
             return;
         }
         self.may_have_run = true;
@@ -290,7 +288,7 @@
             return;
         };
         if events != self.relayed {
-            self.failed(attempt, out);
+            self.failed(attempt, AttemptResult::Unknown, out);
             return;
         }
         let took = now.saturating_duration_since(run.started);
@@ -312,7 +310,7 @@
         };
         if self.stream_begun {
             // The rest of a stream cannot come in one piece.
-            self.failed(attempt, out);
+            self.failed(attempt, AttemptResult::Unknown, out);
             return;
         }
         self.may_have_run = true;
@@ -328,13 +326,13 @@
         self.close(out);
     }
 
-    fn failed(&mut self, attempt: AttemptId, out: &mut Vec<Output>) {
+    fn failed(&mut self, attempt: AttemptId, result: AttemptResult, out: &mut Vec<Output>) {
         if self.current(attempt).is_none() {
             out.push(Output::CountStray);
             return;
         }
         self.may_have_run = true;
-        self.again(attempt, AttemptResult::Unknown, out);
+        self.again(attempt, result, out);
     }
 
     fn link_lost(&mut self, attempt: AttemptId, sent: bool, out: &mut Vec<Output>) {
@@ -348,7 +346,7 @@
         }
         if self.plan.retry == RetryRule::Idempotent {
             out.push(Output::Cancel(attempt, run.runner));
-            self.failed(attempt, out);
+            self.failed(attempt, AttemptResult::Unknown, out);
         } else {
             out.push(Output::Recover(attempt, run.runner));
         }
@@ -475,7 +473,7 @@
         let input = Input::Dispatched {
             attempt,
             runner: "r".into(),
-            exclusive: false,
+            suspect: false,
         };
         handle(call, input)
     }
--- a/crates/core/src/router/choice.rs
+++ b/crates/core/src/router/choice.rs
@@ -18,6 +18,8 @@
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(500);
 /// How long a runner that answered "busy" is passed over.
 const BUSY_BACKOFF: Duration = Duration::from_millis(20);
+/// How long a runner that runs another suspect is passed over for suspects.
+const SUSPECT_BACKOFF: Duration = Duration::from_millis(100);
 /// Share of a full runner that a wholly cached prompt is worth.
 const AFFINITY_WORTH: f64 = 0.25;
 /// Weight of the newest sample in a runner's mean service time.
@@ -68,8 +70,8 @@
     pub cached: Option<(&'a RunnerId, f64)>,
     /// Runners that must not be chosen.
     pub excluded: &'a [RunnerId],
-    /// Estimated work in tokens; scales how long a run should take.
-    pub cost_tokens: u32,
+    /// Whether the runner must have no other suspect.
+    pub suspect: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -79,6 +81,10 @@
     own_in_flight: u32,
     report: Option<(RunnerReport, Instant)>,
     busy_until: Option<Instant>,
+    /// Suspects of this entry that it runs.
+    own_suspects: u32,
+    /// Until when it is passed over for suspects.
+    suspect_busy_until: Option<Instant>,
     /// Mean seconds per token; zero before the first sample.
     seconds_per_token: f64,
     samples: u32,
@@ -122,6 +128,8 @@
                 own_in_flight: 0,
                 report: None,
                 busy_until: None,
+                own_suspects: 0,
+                suspect_busy_until: None,
                 seconds_per_token: 0.0,
                 samples: 0,
             });
@@ -149,22 +157,30 @@
     }
 
     /// Records that the entry sent a request to a runner.
-    pub fn started(&mut self, id: &RunnerId) {
+    pub fn started(&mut self, id: &RunnerId, suspect: bool) {
         if let Some(runner) = self.runners.get_mut(id) {
             runner.own_in_flight += 1;
+            runner.own_suspects += u32::from(suspect);
         }
     }
 
     /// Records that a request of the entry left a runner.
-    pub fn ended(&mut self, id: &RunnerId) {
+    pub fn ended(&mut self, id: &RunnerId, suspect: bool) {
         if let Some(runner) = self.runners.get_mut(id) {
             runner.own_in_flight = runner.own_in_flight.saturating_sub(1);
+            let suspects = runner.own_suspects;
+            runner.own_suspects = suspects.saturating_sub(u32::from(suspect));
         }
     }
 
     /// Records that a runner refused for want of room.
-    pub fn busy(&mut self, now: Instant, id: &RunnerId) {
-        if let Some(runner) = self.runners.get_mut(id) {
+    pub fn busy(&mut self, now: Instant, id: &RunnerId, suspect: bool) {
+        let Some(runner) = self.runners.get_mut(id) else {
+            return;
+        };
+        if suspect {
+            runner.suspect_busy_until = Some(now + SUSPECT_BACKOFF);
+        } else {
             runner.busy_until = Some(now + BUSY_BACKOFF);
         }
     }
@@ -203,7 +219,11 @@
 
     /// Returns when a runner that was passed over as busy may be asked again.
     pub fn next_deadline(&self) -> Option<Instant> {
-        self.runners.values().filter_map(|r| r.busy_until).min()
+        self.runners
+            .values()
+            .flat_map(|r| [r.busy_until, r.suspect_busy_until])
+            .flatten()
+            .min()
     }
 
     /// Chooses a runner with room; `None` when there is none.
@@ -212,6 +232,7 @@
             runner.state == RunnerState::Up
                 && !wanted.excluded.contains(id)
                 && runner.busy_until.is_none_or(|until| until <= now)
+                && (!wanted.suspect || takes_suspect(now, runner))
                 && self.in_flight(now, runner) < f64::from(self.max_in_flight(runner))
         };
         match self.policy {
@@ -315,6 +336,10 @@
     }
 }
 
+fn takes_suspect(now: Instant, runner: &Runner) -> bool {
+    runner.own_suspects == 0 && runner.suspect_busy_until.is_none_or(|until| until <= now)
+}
+
 fn distance_cost(distance: Distance) -> f64 {
     match distance {
         Distance::SamePlace => 0.0,
@@ -350,7 +375,7 @@
         Wanted {
             cached: None,
             excluded,
-            cost_tokens: 1,
+            suspect: false,
         }
     }
 
@@ -363,7 +388,7 @@
         let now = Instant::now();
         let mut chooser = chooser();
         assert_eq!(choose(&chooser, now, &[]), Some("a".into()));
-        chooser.started(&"a".into());
+        chooser.started(&"a".into(), false);
         assert_eq!(choose(&chooser, now, &[]), Some("b".into()));
     }
 
@@ -389,11 +414,11 @@
         chooser.set_state(&"a".into(), RunnerState::Leaving);
         assert_eq!(choose(&chooser, now, &["b".into()]), None);
         for _ in 0..4 {
-            chooser.started(&"b".into());
+            chooser.started(&"b".into(), false);
         }
         assert_eq!(choose(&chooser, now, &[]), None);
         chooser.set_state(&"a".into(), RunnerState::Up);
-        chooser.busy(now, &"a".into());
+        chooser.busy(now, &"a".into(), false);
         assert_eq!(choose(&chooser, now, &[]), None);
         assert_eq!(
             choose(&chooser, now + Duration::from_secs(1), &[]),
@@ -409,7 +434,7 @@
             chooser.took(&"a".into(), Duration::from_millis(900), 1);
             chooser.took(&"b".into(), Duration::from_millis(100), 1);
         }
-        chooser.started(&"b".into());
+        chooser.started(&"b".into(), false);
         assert_eq!(choose(&chooser, now, &[]), Some("b".into()));
     }
 
@@ -421,7 +446,7 @@
         let wanted = Wanted {
             cached: Some((&cached, 1.0)),
             excluded: &[],
-            cost_tokens: 1,
+            suspect: false,
         };
         let chosen = chooser.choose(now, wanted, &mut SmallRng::seed_from_u64(1));
         assert_eq!(chosen, Some("b".into()));
--- a/crates/core/src/router/poison.rs
+++ b/crates/core/src/router/poison.rs
@@ -1,8 +1,10 @@
 //! Requests that kill the endpoints which run them.
 //!
-//! A first death makes everything that ran there a suspect. A suspect runs
-//! alone, so a second death on another runner is conclusive: the request is
-//! blocked for a bounded time. A suspect that is answered is cleared.
+//! A first death makes everything that ran there a suspect. A runner runs at
+//! most one suspect at a time, so a second death on another runner tells which
+//! suspect it was: that request is blocked for a bounded time. A suspect that
+//! is answered is cleared. Other requests share runners with suspects, since
+//! to give each suspect a runner of its own would stop a fleet after one death.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -23,8 +25,8 @@
     pub fingerprint: Fingerprint,
     /// Where it ran.
     pub runner: RunnerId,
-    /// Whether nothing else ran there.
-    pub alone: bool,
+    /// Whether it ran there as a suspect, and so as the only one.
+    pub suspect: bool,
 }
 
 /// How a request may run.
@@ -32,7 +34,7 @@
 pub enum Standing {
     /// Like any other.
     Clear,
-    /// Alone on its runner.
+    /// As the only suspect on its runner.
     Suspect,
     /// Not at all until the time given.
     Blocked(Instant),
@@ -42,7 +44,7 @@
 struct Record {
     /// Distinct runners that died while they ran it.
     runners: Vec<RunnerId>,
-    alone_deaths: u32,
+    suspect_deaths: u32,
     last_death: Instant,
     blocked_until: Option<Instant>,
 }
@@ -64,7 +66,7 @@
         }
         let record = self.records.entry(death.fingerprint).or_insert(Record {
             runners: Vec::new(),
-            alone_deaths: 0,
+            suspect_deaths: 0,
             last_death: now,
             blocked_until: None,
         });
@@ -72,9 +74,9 @@
             return false;
         }
         record.runners.push(death.runner.clone());
-        record.alone_deaths += u32::from(death.alone);
+        record.suspect_deaths += u32::from(death.suspect);
         record.last_death = now;
-        let conclusive = record.runners.len() >= 2 && record.alone_deaths >= 1;
+        let conclusive = record.runners.len() >= 2 && record.suspect_deaths >= 1;
         if conclusive && record.blocked_until.is_none() {
             record.blocked_until = Some(now + block);
             return true;
@@ -135,16 +137,16 @@
 
     const BLOCK: Duration = Duration::from_secs(60);
 
-    fn death(runner: &str, alone: bool) -> Death {
+    fn death(runner: &str, suspect: bool) -> Death {
         Death {
             fingerprint: Fingerprint(7),
             runner: runner.into(),
-            alone,
+            suspect,
         }
     }
 
     #[test]
-    fn second_death_alone_on_another_runner_blocks_for_a_bounded_time() {
+    fn second_death_as_the_suspect_on_another_runner_blocks_for_a_bounded_time() {
         let now = Instant::now();
         let mut registry = PoisonRegistry::default();
         assert!(!registry.record(now, &death("a", false), BLOCK));
--- a/crates/core/src/router/request.rs
+++ b/crates/core/src/router/request.rs
@@ -55,10 +55,14 @@
     },
     /// The agent was full; it gave evidence that the attempt did not run.
     Busy,
+    /// The endpoint is down or leaving; the attempt did not run.
+    Down,
     /// There is evidence that the attempt did not run.
     NotRun,
     /// The attempt may have run; its answer is not whole.
     Unknown,
+    /// Like `Unknown`, and the endpoint died of something that it ran.
+    Died,
     /// The caller went away.
     Cancelled,
 }
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -7,9 +7,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use wisteriawick_core::time::SharedClock;
 
 pub use endpoint::Endpoint;
@@ -19,7 +20,6 @@
 use crate::agent::gate_task::GateHandle;
 use crate::error::Error;
 use crate::error::Result;
-use crate::link::Inbound;
 use crate::link::spawn_listener;
 use crate::node::LoadBoard;
 use crate::node::Node;
@@ -27,6 +27,9 @@
 use crate::settings::RoleSettings;
 use crate::settings::Settings;
 
+/// Time for entries to hear that the agent is leaving.
+const NOTICE: Duration = Duration::from_secs(1);
+
 /// A running agent.
 #[derive(Clone, Debug)]
 pub struct Agent {
@@ -35,6 +38,8 @@
     /// Where entries dial.
     pub link_address: SocketAddr,
     gate: GateHandle,
+    /// Answers under way; a shutdown waits for them.
+    answers: TaskTracker,
     cx: CancellationToken,
 }
 
@@ -54,22 +59,36 @@
         let board = LoadBoard::default();
         let node = Node::new(settings, clock, Some(board.clone()))?;
         let gate = GateHandle::spawn(Arc::clone(&node), board, role.service.clone(), cx.clone());
-        let endpoint = Endpoint::new(role.endpoint_address);
         let (link_address, inbound) =
             spawn_listener(Arc::clone(&node), settings.link_address, cx.clone())?;
-        spawn_tasks(&node, settings, role, &gate, endpoint, inbound, &cx);
+        let answers = TaskTracker::new();
+        spawn_tasks(&node, settings, role, &gate, &cx);
+        tokio::spawn(service::serve(
+            Arc::clone(&node),
+            gate.clone(),
+            Endpoint::new(role.endpoint_address),
+            inbound,
+            answers.clone(),
+            cx.clone(),
+        ));
         Ok(Self {
             node,
             link_address,
             gate,
+            answers,
             cx,
         })
     }
 
     /// Shuts down: refuses new work, finishes what runs, then stops.
+    ///
+    /// It stays for a moment even when nothing runs: what entries sent before
+    /// they heard is refused with evidence instead of lost with the link.
     pub async fn shut_down(&self) {
         self.node.leave();
-        self.gate.drain().await;
+        tokio::join!(self.gate.drain(), tokio::time::sleep(NOTICE));
+        self.answers.close();
+        self.answers.wait().await;
         self.cx.cancel();
     }
 }
@@ -79,26 +98,18 @@
     settings: &Settings,
     role: &AgentSettings,
     gate: &GateHandle,
-    endpoint: Endpoint,
-    inbound: mpsc::Receiver<Inbound>,
     cx: &CancellationToken,
 ) {
     let tls = settings.tls.clone();
     let reloading = Arc::clone(node);
     let reload_cx = cx.clone();
     tokio::spawn(async move { reloading.reload_tls(&tls, reload_cx).await });
-    tokio::spawn(endpoint::probe(endpoint.clone(), gate.clone(), cx.clone()));
+    let probed = Endpoint::new(role.endpoint_address);
+    tokio::spawn(endpoint::probe(probed, gate.clone(), cx.clone()));
     tokio::spawn(service::follow_limits(
         Arc::clone(node),
         role.service.clone(),
         gate.clone(),
         cx.clone(),
     ));
-    tokio::spawn(service::serve(
-        Arc::clone(node),
-        gate.clone(),
-        endpoint,
-        inbound,
-        cx.clone(),
-    ));
 }
--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -69,7 +69,7 @@
             attempt,
             meant_for: Incarnation(wire.meant_for),
             remaining,
-            exclusive: wire.exclusive,
+            suspect: wire.suspect,
         },
         from: from.peer.clone(),
         fingerprint: wire.fingerprint,
@@ -81,6 +81,8 @@
     // The entry may be gone; a recovery finds the answer at the gate.
     let _ = tx.write(&reply).await;
     tx.finish();
+    // A shutdown waits for this task, and so until the answer has arrived.
+    tx.stopped().await;
 }
 
 async fn serve(
@@ -96,11 +98,14 @@
         () = abort.cancelled() => Served::Aborted,
     };
     let died = matches!(served, Served::Broken(_));
+    if matches!(served, Served::NotSent | Served::Broken(_)) {
+        gate.endpoint_up(endpoint.accepts().await).await;
+    }
     let reply = match served {
         Served::Whole(reply) => reply,
         Served::Stream(events) => Reply::EndOfStream(events),
         Served::NotSent => Reply::Refused(RefusalWire::EndpointDown),
-        Served::Broken(message) => Reply::Failed(message),
+        Served::Broken(message) => Reply::Died(message),
         Served::Aborted => Reply::Failed("the entry gave the attempt up".into()),
     };
     let answer = Some(Arc::new(reply.clone()));
--- a/src/agent/endpoint.rs
+++ b/src/agent/endpoint.rs
@@ -129,6 +129,11 @@
         Ok(sender)
     }
 
+    /// Returns whether the endpoint accepts a connection now.
+    pub(crate) async fn accepts(&self) -> bool {
+        self.connect().await.is_ok()
+    }
+
     async fn is_healthy(&self) -> bool {
         let req = Request::get(HEALTH_PATH)
             .header(http::header::HOST, self.address.to_string())
@@ -156,7 +161,6 @@
 /// Tells the gate whether the endpoint answers.
 pub(crate) async fn probe(endpoint: Endpoint, gate: GateHandle, cx: CancellationToken) {
     let mut failures = 0;
-    let mut up = true;
     let mut ticks = tokio::time::interval(PROBE_EVERY);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -169,10 +173,9 @@
         } else {
             failures + 1
         };
-        let now_up = failures < PROBE_FAILURES;
-        if now_up != up {
-            up = now_up;
-            gate.endpoint_up(up).await;
+        // One failure may be a busy endpoint; calls report a closed port at once.
+        if failures == 0 || failures >= PROBE_FAILURES {
+            gate.endpoint_up(failures == 0).await;
         }
     }
 }
--- a/src/agent/gate_task.rs
+++ b/src/agent/gate_task.rs
@@ -49,6 +49,9 @@
 /// The answer of an attempt, once it has one.
 pub(crate) type Answer = watch::Receiver<Option<Arc<Reply>>>;
 
+/// What an entry learns of an attempt that it asks about.
+type Told = (CancelVerdict, Option<Answer>);
+
 /// An attempt that an entry offers.
 #[derive(Debug)]
 pub(crate) struct Offered {
@@ -79,7 +82,7 @@
 
 enum Message {
     Offer(Offered, oneshot::Sender<Verdict>),
-    Ask(Question, oneshot::Sender<(CancelVerdict, Option<Answer>)>),
+    Ask(Question, oneshot::Sender<Told>),
     Ended(Ended),
     Drain(oneshot::Sender<()>),
     Limit(u32),
@@ -125,7 +128,7 @@
     }
 
     /// Asks what became of an attempt, with its answer if there will be one.
-    pub(crate) async fn ask(&self, question: Question) -> (CancelVerdict, Option<Answer>) {
+    pub(crate) async fn ask(&self, question: Question) -> Told {
         let (tx, rx) = oneshot::channel();
         let sent = self.tx.send(Message::Ask(question, tx)).await;
         match (sent, rx.await) {
@@ -158,7 +161,7 @@
 struct Held {
     from: ProcessId,
     fingerprint: u128,
-    exclusive: bool,
+    suspect: bool,
     abort: CancellationToken,
     answer: watch::Sender<Option<Arc<Reply>>>,
     ended_at: Option<Instant>,
@@ -171,7 +174,7 @@
     service: ServiceId,
     attempts: HashMap<AttemptId, Held>,
     offers: HashMap<AttemptId, oneshot::Sender<Verdict>>,
-    asks: Vec<(AttemptId, oneshot::Sender<(CancelVerdict, Option<Answer>)>)>,
+    asks: Vec<(AttemptId, oneshot::Sender<Told>)>,
     drains: Vec<oneshot::Sender<()>>,
 }
 
@@ -239,6 +242,7 @@
                 }
             }
             Message::Limit(max) => self.handle(Input::Limit(max)),
+            Message::EndpointUp(up) if up == self.gate.is_endpoint_up() => {}
             Message::EndpointUp(up) => {
                 self.handle(Input::EndpointUp(up));
                 self.publish();
@@ -262,7 +266,7 @@
         let held = Held {
             from,
             fingerprint,
-            exclusive: offer.exclusive,
+            suspect: offer.suspect,
             abort: CancellationToken::new(),
             answer: watch::Sender::new(None),
             ended_at: None,
@@ -352,7 +356,7 @@
                     fingerprint: held.fingerprint,
                     runner: self.node.name.to_string(),
                     service: self.service.to_string(),
-                    alone: held.exclusive,
+                    suspect: held.suspect,
                 };
                 self.board.died(now, death);
                 self.node.timeline.record(EventKind::EndpointDied(attempt));
--- a/src/agent/service.rs
+++ b/src/agent/service.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use wisteriawick_core::gate::CancelVerdict;
 use wisteriawick_core::ids::ServiceId;
 use wisteriawick_core::ticket::Head;
@@ -28,6 +29,7 @@
     gate: GateHandle,
     endpoint: Endpoint,
     mut inbound: mpsc::Receiver<Inbound>,
+    answers: TaskTracker,
     cx: CancellationToken,
 ) {
     loop {
@@ -39,7 +41,7 @@
             return;
         };
         let (node, gate, endpoint) = (Arc::clone(&node), gate.clone(), endpoint.clone());
-        tokio::spawn(async move { answer(&node, &gate, endpoint, stream).await });
+        answers.spawn(async move { answer(&node, &gate, endpoint, stream).await });
     }
 }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -25,6 +25,8 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use wisteriawick_core::ids::ProcessId;
+use wisteriawick_core::membership::MemberState;
 use wisteriawick_core::time::SharedClock;
 
 pub(crate) use watcher::HEAD_OBJECT;
@@ -155,6 +157,14 @@
             .await;
     }
 
+    /// Waits until a process is known to be leaving.
+    pub async fn sees_leaving(&self, process: &ProcessId) {
+        let mut links = self.context.links.clone();
+        let leaving = |table: &LinkTable| table.state(process) == Some(MemberState::Leaving);
+        // The directory lives as long as the entry.
+        let _ = links.wait_for(leaving).await;
+    }
+
     /// Shuts down: stops being ready, stops accepting, finishes everything in
     /// progress, then stops.
     pub async fn shut_down(&self) {
--- a/src/entry/call_task.rs
+++ b/src/entry/call_task.rs
@@ -235,6 +235,7 @@
                     body: Some(body),
                 },
             ),
+            Some(Reply::Died(_)) => Input::EndpointDied(attempt),
             Some(Reply::Failed(_)) => Input::EndpointFailed(attempt),
             Some(_) | None => Input::LinkLost {
                 attempt,
@@ -300,9 +301,9 @@
             Output::Send {
                 attempt,
                 runner,
-                exclusive,
+                suspect,
                 resume_from,
-            } => self.send(attempt, runner, exclusive, resume_from),
+            } => self.send(attempt, runner, suspect, resume_from),
             Output::Recover(attempt, runner) => self.recover(attempt, runner),
             Output::Cancel(attempt, runner) => self.cancel(attempt, runner),
             Output::BeginStream => self.begin_stream(),
@@ -372,7 +373,7 @@
             .await;
     }
 
-    fn send(&mut self, attempt: AttemptId, runner: RunnerId, exclusive: bool, resume_from: u64) {
+    fn send(&mut self, attempt: AttemptId, runner: RunnerId, suspect: bool, resume_from: u64) {
         if resume_from > 0 {
             let event = EventKind::StreamResumed {
                 attempt,
@@ -390,7 +391,7 @@
             meant_for: incarnation.0,
             remaining_us: 0,
             sent_us: 0,
-            exclusive,
+            suspect,
             stream: self.caller.plan.kind == CallKind::Stream,
             resume_from,
             fingerprint: self.caller.fingerprint.0,
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -61,6 +61,11 @@
         self.neighbours.get(process)?.link.as_ref()
     }
 
+    /// Returns the state of a process.
+    pub(crate) fn state(&self, process: &ProcessId) -> Option<MemberState> {
+        self.neighbours.get(process).map(|n| n.state)
+    }
+
     /// Returns the number of agents with an open link.
     pub(crate) fn linked_agents(&self) -> usize {
         self.neighbours
--- a/src/entry/router_task.rs
+++ b/src/entry/router_task.rs
@@ -208,8 +208,10 @@
         let label = match result {
             AttemptResult::Answered { .. } => "answered",
             AttemptResult::Busy => "busy",
+            AttemptResult::Down => "down",
             AttemptResult::NotRun => "not-run",
             AttemptResult::Unknown => "unknown",
+            AttemptResult::Died => "died",
             AttemptResult::Cancelled => "cancelled",
         };
         counter!(ATTEMPTS, "service" => service.to_string(), "result" => label).increment(1);
@@ -297,7 +299,7 @@
                     self.refuse_unknown(input);
                     return;
                 };
-                let router = Router::new(limits, Policy::Scan, rand::random());
+                let router = Router::new(now, limits, Policy::Scan, rand::random());
                 self.routers.entry(service.clone()).or_insert(router)
             }
         };
@@ -322,13 +324,13 @@
                 request,
                 attempt,
                 runner,
-                exclusive,
+                suspect,
             } => {
                 self.attempts.insert(attempt, request);
                 let input = call::Input::Dispatched {
                     attempt,
                     runner,
-                    exclusive,
+                    suspect,
                 };
                 self.tell(request, input);
             }
--- a/src/link/wire.rs
+++ b/src/link/wire.rs
@@ -81,8 +81,8 @@
     pub runner: String,
     /// The service of the runner.
     pub service: String,
-    /// Whether nothing else ran there.
-    pub alone: bool,
+    /// Whether it ran there as the only suspect.
+    pub suspect: bool,
 }
 
 impl From<&DeathWire> for Death {
@@ -90,7 +90,7 @@
         Self {
             fingerprint: Fingerprint(wire.fingerprint),
             runner: RunnerId::new(wire.runner.as_str()),
-            alone: wire.alone,
+            suspect: wire.suspect,
         }
     }
 }
@@ -106,8 +106,8 @@
     pub remaining_us: u64,
     /// Time since the sender opened the link, in microseconds.
     pub sent_us: u64,
-    /// Whether nothing else may run beside it.
-    pub exclusive: bool,
+    /// Whether it must be the only suspect on its runner.
+    pub suspect: bool,
     /// Whether the answer is a stream of events.
     pub stream: bool,
     /// Events of the answer that the caller has already.
@@ -365,6 +365,8 @@
     },
     /// The endpoint failed; the attempt may have run.
     Failed(String),
+    /// The endpoint died; the attempt may have run.
+    Died(String),
     /// The ledger's reply.
     Ledger(LedgerReplyWire),
     /// The head in force, as JSON; empty when none is.
--- /dev/null
+++ b/tests/tickets.rs
@@ -0,0 +1,140 @@
+//! Tickets over sockets: races, lost answers, outages, changes without restart.
+
+mod support;
+
+use std::path::Path;
+
+use support::Fixture;
+use support::assert_whole;
+use support::small_sizes;
+use wisteriawick::command::ticket;
+
+fn write_ticket(dir: &Path, number: u64, max_queue: u32) {
+    let text = format!(
+        "number = {number}\ntitle = \"queue {max_queue}\"\n\n[service.llm]\nkind = \"model\"\n\
+         max_in_flight = 100\nmax_queue = {max_queue}\n"
+    );
+    let file = dir.join(format!("{number:04}.toml"));
+    std::fs::write(file, text).expect("a written ticket");
+}
+
+fn copy_dir(from: &Path) -> std::path::PathBuf {
+    let to = support::fresh_dir();
+    std::fs::create_dir_all(&to).expect("a directory");
+    for entry in std::fs::read_dir(from).expect("a directory") {
+        let path = entry.expect("an entry").path();
+        std::fs::copy(&path, to.join(path.file_name().expect("a name"))).expect("a copy");
+    }
+    to
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn applying_twice_and_from_two_desks_accepts_each_ticket_once() {
+    let fixture = Fixture::start(small_sizes()).await;
+    let dir = fixture.fleet.ticket_dir();
+    for number in 2..=6 {
+        write_ticket(&dir, number, 100 + number as u32);
+    }
+    let client = ticket::platform_client(fixture.fleet.platform.addr());
+    let (a, b) = tokio::join!(
+        ticket::apply(&dir, &client, "desk-1"),
+        ticket::apply(&dir, &client, "desk-2")
+    );
+    a.expect("accepted");
+    b.expect("accepted");
+    ticket::apply(&dir, &client, "desk-1").await.expect("again");
+    fixture.fleet.in_force(6).await;
+    let fleet = fixture.fleet.entries[1].node.config.fleet();
+    assert_eq!(fleet.services[&"llm".into()].max_queue, 106);
+    fixture.stop();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn of_two_desks_with_the_same_number_one_is_refused() {
+    let fixture = Fixture::start(small_sizes()).await;
+    let dir = fixture.fleet.ticket_dir();
+    let other = copy_dir(&dir);
+    write_ticket(&dir, 2, 111);
+    write_ticket(&other, 2, 222);
+    let client = ticket::platform_client(fixture.fleet.platform.addr());
+    let (a, b) = tokio::join!(
+        ticket::apply(&dir, &client, "desk-1"),
+        ticket::apply(&other, &client, "desk-2")
+    );
+    let refused = match (a, b) {
+        (Ok(()), Err(e)) | (Err(e), Ok(())) => e.to_string(),
+        other => panic!("one desk should win: {other:?}"),
+    };
+    assert!(refused.contains("next free number"), "{refused}");
+    std::fs::remove_dir_all(other).expect("removed");
+    fixture.stop();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_lost_answer_is_settled_by_content() {
+    let fixture = Fixture::start(small_sizes()).await;
+    let dir = fixture.fleet.ticket_dir();
+    write_ticket(&dir, 2, 123);
+    fixture
+        .fleet
+        .platform
+        .set_faults(|faults| faults.lose_answers = 1);
+    let client = ticket::platform_client(fixture.fleet.platform.addr());
+    ticket::apply(&dir, &client, "desk-1")
+        .await
+        .expect("accepted");
+    fixture.fleet.in_force(2).await;
+    fixture.stop();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_new_entry_learns_the_head_from_peers_while_the_platform_is_down() {
+    let mut fixture = Fixture::start(small_sizes()).await;
+    fixture
+        .fleet
+        .add_entry("entry-3", "p1")
+        .await
+        .expect("an entry");
+    fixture.fleet.list_instances();
+    fixture.fleet.in_force(1).await;
+    fixture
+        .fleet
+        .platform
+        .set_faults(|faults| faults.down = true);
+    let entry = fixture.fleet.entries.len() - 1;
+    let answer = fixture
+        .stream(entry, "served without the platform", 5)
+        .await;
+    assert_whole(&answer, "served without the platform", 5);
+    fixture.stop();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_limit_changes_without_a_restart_and_cuts_nothing_off() {
+    let fixture = Fixture::start(small_sizes()).await;
+    let dir = fixture.fleet.ticket_dir();
+    write_ticket(&dir, 2, 77);
+    let client = ticket::platform_client(fixture.fleet.platform.addr());
+    let change = async {
+        ticket::apply(&dir, &client, "desk-1")
+            .await
+            .expect("accepted");
+        fixture.fleet.in_force(2).await;
+    };
+    let (answer, ()) = tokio::join!(fixture.stream(0, "in progress", 200), change);
+    assert_whole(&answer, "in progress", 200);
+    let fleet = fixture.fleet.entries[0].node.config.fleet();
+    assert_eq!(fleet.services[&"llm".into()].max_queue, 77);
+    fixture.stop();
+}
+
+#[test]
+fn a_gap_in_a_directory_names_the_missing_number() {
+    let dir = support::fresh_dir();
+    std::fs::create_dir_all(&dir).expect("a directory");
+    write_ticket(&dir, 1, 5);
+    write_ticket(&dir, 3, 5);
+    let error = ticket::check(&dir).expect_err("a gap").to_string();
+    assert!(error.contains("ticket 2 is missing"), "{error}");
+    std::fs::remove_dir_all(dir).expect("removed");
+}
