--- /dev/null
+++ b/crates/core/src/maps/switch/core.rs
@@ -0,0 +1,576 @@
+//! The switch core.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::ids::Incarnation;
+use crate::ids::MapNumber;
+use crate::ids::Term;
+use crate::maps::switch::Ballot;
+use crate::maps::switch::Decision;
+use crate::maps::switch::EngineOrder;
+use crate::maps::switch::EngineReport;
+use crate::maps::switch::EngineView;
+use crate::maps::switch::Message;
+use crate::maps::switch::Standing;
+use crate::maps::switch::SwitchInput;
+use crate::maps::switch::SwitchOutput;
+use crate::maps::switch::Vote;
+
+/// How long a runner waits for votes or an engine before it asks again.
+const ASK_AFTER: Duration = Duration::from_millis(100);
+/// Index of the runner that chooses the map when no engine has any state.
+const STARTER: usize = 0;
+/// Decisions that are remembered.
+const MEMORY: usize = 64;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Phase {
+    /// The engine's state is being read.
+    ReadingBack,
+    /// Peers are being asked; one answer each.
+    Joining(Vec<Option<Standing>>),
+    /// The engine takes up the group's state with this map.
+    Restoring(MapNumber),
+    Ready,
+}
+
+#[derive(Clone, Debug)]
+struct Open {
+    ballot: Ballot,
+    votes: Vec<Option<Vote>>,
+}
+
+/// One runner's part in switching maps.
+#[derive(Clone, Debug)]
+pub struct Switch {
+    me: usize,
+    life: Incarnation,
+    phase: Phase,
+    /// Highest term seen; lower ones are refused.
+    term: Term,
+    /// The latest known life of each runner.
+    lives: Vec<Incarnation>,
+    /// The ballot without a decision; at most one is armed.
+    open: Option<Open>,
+    /// Votes of ballots that were not proposed here yet.
+    early: BTreeMap<Ballot, Vec<Option<Vote>>>,
+    /// At most `MEMORY` decisions.
+    decided: BTreeMap<Ballot, Decision>,
+    engine: EngineView,
+    /// Map to start with when no runner has any state.
+    initial: MapNumber,
+    /// Who asked for which map to be staged.
+    staging: Option<(usize, MapNumber)>,
+    ask_at: Option<Instant>,
+}
+
+impl Switch {
+    /// Returns the switch of runner `me` of `runners`; `initial` is the map to
+    /// start with when no runner has any state.
+    pub fn new(me: usize, runners: usize, life: Incarnation, initial: MapNumber) -> Self {
+        let mut lives = vec![Incarnation(0); runners];
+        lives[me] = life;
+        Self {
+            me,
+            life,
+            phase: Phase::ReadingBack,
+            term: Term(0),
+            lives,
+            open: None,
+            early: BTreeMap::new(),
+            decided: BTreeMap::new(),
+            engine: EngineView {
+                active: None,
+                step: Default::default(),
+                staged: Vec::new(),
+                armed: None,
+            },
+            initial,
+            staging: None,
+            ask_at: None,
+        }
+    }
+
+    /// Takes an input and appends what has to be done.
+    pub fn handle(&mut self, now: Instant, input: SwitchInput, out: &mut Vec<SwitchOutput>) {
+        match input {
+            SwitchInput::Start => self.read_back(now, out),
+            SwitchInput::Peer {
+                from,
+                life,
+                message,
+            } => self.peer(now, from, life, message, out),
+            SwitchInput::Engine(report) => self.engine(now, report, out),
+            SwitchInput::Tick => self.tick(now, out),
+        }
+    }
+
+    /// Returns when `SwitchInput::Tick` is due.
+    pub fn next_deadline(&self) -> Option<Instant> {
+        self.ask_at
+    }
+
+    /// Returns the last known state of the engine.
+    pub fn engine_view(&self) -> &EngineView {
+        &self.engine
+    }
+
+    /// Returns whether the runner takes part in ballots.
+    pub fn is_ready(&self) -> bool {
+        self.phase == Phase::Ready
+    }
+
+    /// Returns a known decision.
+    pub fn decision(&self, ballot: Ballot) -> Option<Decision> {
+        self.decided.get(&ballot).copied()
+    }
+
+    fn read_back(&mut self, now: Instant, out: &mut Vec<SwitchOutput>) {
+        self.ask_at = Some(now + ASK_AFTER);
+        out.push(SwitchOutput::Order(EngineOrder::ReadBack));
+    }
+
+    fn peers(&self) -> impl Iterator<Item = usize> + use<> {
+        let me = self.me;
+        (0..self.lives.len()).filter(move |index| *index != me)
+    }
+
+    fn broadcast(&self, message: &Message, out: &mut Vec<SwitchOutput>) {
+        out.extend(
+            self.peers()
+                .map(|to| SwitchOutput::Send(to, message.clone())),
+        );
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<SwitchOutput>) {
+        if self.ask_at.is_none_or(|at| now < at) {
+            return;
+        }
+        self.ask_at = None;
+        match &self.phase {
+            Phase::ReadingBack | Phase::Restoring(_) => {
+                self.read_back(now, out);
+            }
+            Phase::Joining(standings) => {
+                let missing: Vec<usize> = self
+                    .peers()
+                    .filter(|peer| standings[*peer].is_none())
+                    .collect();
+                out.extend(
+                    missing
+                        .into_iter()
+                        .map(|peer| SwitchOutput::Send(peer, Message::Join)),
+                );
+                self.ask_at = Some(now + ASK_AFTER);
+            }
+            Phase::Ready => {
+                self.ask_for_votes(now, out);
+                if self.engine.armed.is_some() {
+                    self.read_back(now, out);
+                }
+            }
+        }
+    }
+
+    fn ask_for_votes(&mut self, now: Instant, out: &mut Vec<SwitchOutput>) {
+        let Some(open) = &self.open else {
+            return;
+        };
+        self.ask_at = Some(now + ASK_AFTER);
+        if open.votes[self.me].is_none() {
+            out.push(SwitchOutput::Order(EngineOrder::Arm(open.ballot)));
+            return;
+        }
+        for peer in self.peers() {
+            if open.votes[peer].is_none() {
+                out.push(SwitchOutput::Send(peer, Message::Ask(open.ballot)));
+            }
+        }
+    }
+
+    fn peer(
+        &mut self,
+        now: Instant,
+        from: usize,
+        life: Incarnation,
+        message: Message,
+        out: &mut Vec<SwitchOutput>,
+    ) {
+        if life < self.lives[from] {
+            return;
+        }
+        self.lives[from] = life;
+        match message {
+            Message::Stage { term, map } => self.stage(from, term, map, out),
+            Message::Staged { .. } => {}
+            Message::Arm { ballot, lives } => self.arm(now, ballot, &lives, out),
+            Message::Vote(ballot, vote) => self.vote(now, from, ballot, vote, out),
+            Message::Ask(ballot) => self.asked(now, from, ballot, out),
+            Message::Decided(ballot, decision) => self.decide(now, ballot, decision, out),
+            Message::Join => self.join(from, out),
+            Message::Joined(standing) => self.joined(now, from, standing, out),
+        }
+    }
+
+    fn stage(&mut self, from: usize, term: Term, map: MapNumber, out: &mut Vec<SwitchOutput>) {
+        if self.phase != Phase::Ready || term < self.term {
+            return;
+        }
+        self.term = term;
+        self.staging = Some((from, map));
+        out.push(SwitchOutput::Order(EngineOrder::Stage(term, map)));
+    }
+
+    /// Tells the leader that its map is loaded, and how far the engine is.
+    fn tell_staged(&mut self, out: &mut Vec<SwitchOutput>) {
+        let staged = &self.engine.staged;
+        if let Some((leader, map)) = self.staging.take_if(|(_, map)| staged.contains(map)) {
+            let step = self.engine.step;
+            out.push(SwitchOutput::Send(leader, Message::Staged { map, step }));
+        }
+    }
+
+    fn arm(
+        &mut self,
+        now: Instant,
+        ballot: Ballot,
+        lives: &[Incarnation],
+        out: &mut Vec<SwitchOutput>,
+    ) {
+        if let Some(decision) = self.decision(ballot) {
+            self.broadcast(&Message::Decided(ballot, decision), out);
+            return;
+        }
+        if self.open.as_ref().is_some_and(|open| open.ballot == ballot) {
+            return;
+        }
+        let takes_part = self.phase == Phase::Ready
+            && lives.get(self.me) == Some(&self.life)
+            && ballot.term >= self.term
+            && self.open.is_none()
+            && self.engine.armed.is_none()
+            && self.engine.active.is_some_and(|active| active < ballot.map)
+            && self.engine.staged.contains(&ballot.map);
+        if !takes_part {
+            self.refuse(now, ballot, out);
+            return;
+        }
+        self.term = ballot.term;
+        let votes = self
+            .early
+            .remove(&ballot)
+            .unwrap_or_else(|| vec![None; self.lives.len()]);
+        self.open = Some(Open { ballot, votes });
+        self.ask_at = Some(now + ASK_AFTER);
+        out.push(SwitchOutput::Order(EngineOrder::Arm(ballot)));
+    }
+
+    fn refuse(&mut self, now: Instant, ballot: Ballot, out: &mut Vec<SwitchOutput>) {
+        self.broadcast(&Message::Vote(ballot, Vote::Refused), out);
+        self.decide(now, ballot, Decision::Disarm, out);
+    }
+
+    fn vote(
+        &mut self,
+        now: Instant,
+        from: usize,
+        ballot: Ballot,
+        vote: Vote,
+        out: &mut Vec<SwitchOutput>,
+    ) {
+        if self.decision(ballot).is_some() {
+            return;
+        }
+        if vote == Vote::Refused {
+            self.decide(now, ballot, Decision::Disarm, out);
+            return;
+        }
+        match &mut self.open {
+            Some(open) if open.ballot == ballot => open.votes[from] = Some(vote),
+            _ => {
+                let runners = self.lives.len();
+                let votes = self
+                    .early
+                    .entry(ballot)
+                    .or_insert_with(|| vec![None; runners]);
+                votes[from] = Some(vote);
+                while self.early.len() > MEMORY {
+                    self.early.pop_first();
+                }
+            }
+        }
+        self.count(now, out);
+    }
+
+    /// Decides to go when every runner has armed.
+    fn count(&mut self, now: Instant, out: &mut Vec<SwitchOutput>) {
+        let Some(open) = &self.open else {
+            return;
+        };
+        let ballot = open.ballot;
+        if open.votes.iter().all(|vote| *vote == Some(Vote::Armed)) {
+            self.decide(now, ballot, Decision::Go, out);
+        }
+    }
+
+    fn asked(&mut self, now: Instant, from: usize, ballot: Ballot, out: &mut Vec<SwitchOutput>) {
+        if let Some(decision) = self.decision(ballot) {
+            out.push(SwitchOutput::Send(from, Message::Decided(ballot, decision)));
+            return;
+        }
+        if self.phase != Phase::Ready {
+            // What a former life voted is not known yet.
+            return;
+        }
+        match &self.open {
+            Some(open) if open.ballot == ballot => {
+                if let Some(vote) = open.votes[self.me] {
+                    out.push(SwitchOutput::Send(from, Message::Vote(ballot, vote)));
+                }
+            }
+            _ => self.refuse(now, ballot, out),
+        }
+    }
+
+    fn decide(
+        &mut self,
+        now: Instant,
+        ballot: Ballot,
+        decision: Decision,
+        out: &mut Vec<SwitchOutput>,
+    ) {
+        if self.decision(ballot).is_some() {
+            return;
+        }
+        self.decided.insert(ballot, decision);
+        while self.decided.len() > MEMORY {
+            self.decided.pop_first();
+        }
+        self.early.remove(&ballot);
+        out.push(SwitchOutput::Decided(ballot, decision));
+        let was_open = self.open.as_ref().is_some_and(|open| open.ballot == ballot);
+        if was_open {
+            self.open = None;
+        }
+        let armed = self.engine.armed.is_some_and(|(armed, _)| armed == ballot);
+        if was_open || armed {
+            self.order_decision(now, ballot, decision, out);
+        }
+    }
+
+    fn order_decision(
+        &mut self,
+        now: Instant,
+        ballot: Ballot,
+        decision: Decision,
+        out: &mut Vec<SwitchOutput>,
+    ) {
+        self.ask_at = Some(now + ASK_AFTER);
+        out.push(SwitchOutput::Order(match decision {
+            Decision::Go => EngineOrder::Go(ballot),
+            Decision::Disarm => EngineOrder::Disarm(ballot),
+        }));
+    }
+
+    /// Answers a life without memory; its predecessor's open vote is void.
+    fn join(&mut self, from: usize, out: &mut Vec<SwitchOutput>) {
+        if matches!(self.phase, Phase::ReadingBack) {
+            // It asks again.
+            return;
+        }
+        if let Some(open) = &mut self.open {
+            open.votes[from] = None;
+        }
+        for votes in self.early.values_mut() {
+            votes[from] = None;
+        }
+        let active = match &self.phase {
+            Phase::Ready => self.engine.active,
+            // What it will run counts: a third runner must not choose another.
+            Phase::Restoring(active) => Some(*active),
+            Phase::ReadingBack | Phase::Joining(_) => None,
+        };
+        let standing = Standing {
+            active,
+            armed: self.engine.armed,
+            open: self.open.as_ref().map(|open| open.ballot),
+            decided: self.decided.clone(),
+        };
+        out.push(SwitchOutput::Send(from, Message::Joined(standing)));
+    }
+
+    fn joined(
+        &mut self,
+        now: Instant,
+        from: usize,
+        standing: Standing,
+        out: &mut Vec<SwitchOutput>,
+    ) {
+        let Phase::Joining(standings) = &mut self.phase else {
+            return;
+        };
+        standings[from] = Some(standing);
+        let me = self.me;
+        let complete = standings
+            .iter()
+            .enumerate()
+            .all(|(index, held)| index == me || held.is_some());
+        if !complete {
+            return;
+        }
+        let all_fresh = standings.iter().flatten().all(|s| s.active.is_none());
+        if all_fresh && me != STARTER {
+            // The starter chooses the first map; ask until it has.
+            standings.fill(None);
+            return;
+        }
+        let standings: Vec<Standing> = standings.iter().flatten().cloned().collect();
+        self.take_up(now, &standings, out);
+    }
+
+    /// Takes up the group's state after all peers told theirs.
+    fn take_up(&mut self, now: Instant, standings: &[Standing], out: &mut Vec<SwitchOutput>) {
+        for standing in standings {
+            self.decided.extend(standing.decided.clone());
+        }
+        let open: Vec<Ballot> = standings.iter().filter_map(|s| s.open).collect();
+        for ballot in open {
+            match self.decision(ballot) {
+                Some(decision) => self.broadcast(&Message::Decided(ballot, decision), out),
+                None => self.refuse(now, ballot, out),
+            }
+        }
+        let active = standings
+            .iter()
+            .filter_map(|s| s.active)
+            .max()
+            .unwrap_or(self.initial);
+        let armed = standings
+            .iter()
+            .filter_map(|s| s.armed)
+            .find(|(ballot, _)| self.decision(*ballot) == Some(Decision::Go))
+            .filter(|(ballot, _)| ballot.map > active)
+            .map(|(ballot, _)| (ballot, true));
+        self.phase = Phase::Restoring(active);
+        self.ask_at = Some(now + ASK_AFTER);
+        out.push(SwitchOutput::Order(EngineOrder::Restore { active, armed }));
+    }
+
+    fn engine(&mut self, now: Instant, report: EngineReport, out: &mut Vec<SwitchOutput>) {
+        match report {
+            EngineReport::State(view) => self.state_read(now, view, out),
+            EngineReport::Done(order) => self.done(now, order, out),
+            EngineReport::Refused(EngineOrder::Arm(ballot)) => {
+                let open = self.open.as_ref().map(|open| open.ballot);
+                if open == Some(ballot) {
+                    self.refuse(now, ballot, out);
+                }
+            }
+            EngineReport::Refused(_) | EngineReport::Unknown(_) => {
+                // The next look at the engine tells.
+                self.ask_at.get_or_insert(now + ASK_AFTER);
+            }
+        }
+    }
+
+    fn done(&mut self, now: Instant, order: EngineOrder, out: &mut Vec<SwitchOutput>) {
+        match order {
+            EngineOrder::Arm(ballot) => self.armed(now, ballot, out),
+            EngineOrder::Go(ballot) => {
+                self.engine.armed = Some((ballot, true));
+                self.ask_at = Some(now + ASK_AFTER);
+            }
+            EngineOrder::Disarm(_) => self.engine.armed = None,
+            EngineOrder::Stage(..) | EngineOrder::Restore { .. } | EngineOrder::ReadBack => {
+                self.read_back(now, out);
+            }
+        }
+    }
+
+    /// The engine holds the ballot's step: the vote is cast.
+    fn armed(&mut self, now: Instant, ballot: Ballot, out: &mut Vec<SwitchOutput>) {
+        self.engine.armed = Some((ballot, false));
+        if let Some(decision) = self.decision(ballot) {
+            self.order_decision(now, ballot, decision, out);
+            return;
+        }
+        let me = self.me;
+        let Some(open) = self.open.as_mut().filter(|open| open.ballot == ballot) else {
+            return;
+        };
+        open.votes[me] = Some(Vote::Armed);
+        self.broadcast(&Message::Vote(ballot, Vote::Armed), out);
+        self.count(now, out);
+    }
+
+    fn state_read(&mut self, now: Instant, view: EngineView, out: &mut Vec<SwitchOutput>) {
+        let had_state = self.engine.active.is_some();
+        self.engine = view;
+        if self.engine.active.is_none() {
+            self.engine_is_fresh(now, had_state, out);
+            return;
+        }
+        if self.phase != Phase::Ready {
+            self.phase = Phase::Ready;
+        }
+        self.ask_at = None;
+        self.tell_staged(out);
+        let Some((ballot, go)) = self.engine.armed else {
+            self.forget_passed(now, out);
+            return;
+        };
+        self.ask_at = Some(now + ASK_AFTER);
+        if go {
+            self.decide(now, ballot, Decision::Go, out);
+        } else if let Some(decision) = self.decision(ballot) {
+            self.order_decision(now, ballot, decision, out);
+        } else if self.open.is_none() {
+            // Armed by a former life: its vote stands.
+            let votes = self
+                .early
+                .remove(&ballot)
+                .unwrap_or_else(|| vec![None; self.lives.len()]);
+            self.open = Some(Open { ballot, votes });
+            self.armed(now, ballot, out);
+        } else {
+            self.armed(now, ballot, out);
+        }
+    }
+
+    /// The engine is not armed although a ballot is open: arm it again.
+    fn forget_passed(&mut self, now: Instant, out: &mut Vec<SwitchOutput>) {
+        if let Some(open) = &mut self.open
+            && open.votes[self.me].is_none()
+        {
+            let ballot = open.ballot;
+            self.ask_at = Some(now + ASK_AFTER);
+            out.push(SwitchOutput::Order(EngineOrder::Arm(ballot)));
+        }
+    }
+
+    fn engine_is_fresh(&mut self, now: Instant, had_state: bool, out: &mut Vec<SwitchOutput>) {
+        if let Phase::Joining(_) = self.phase {
+            return;
+        }
+        if let Phase::Restoring(active) = self.phase {
+            // The order was lost; the choice stands.
+            let armed = None;
+            self.ask_at = Some(now + ASK_AFTER);
+            out.push(SwitchOutput::Order(EngineOrder::Restore { active, armed }));
+            return;
+        }
+        if had_state {
+            // The vote that stood in the engine is lost with it.
+            self.open = None;
+        }
+        self.phase = Phase::Joining(vec![None; self.lives.len()]);
+        self.ask_at = Some(now + ASK_AFTER);
+        if self.lives.len() == 1 {
+            self.take_up(now, &[], out);
+            return;
+        }
+        self.broadcast(&Message::Join, out);
+    }
+}
