--- a/crates/core/src/gate/core.rs
+++ b/crates/core/src/gate/core.rs
@@ -38,7 +38,7 @@
     Late,
     /// The attempt was meant for a former life of the agent.
     OtherIncarnation,
-    /// The attempt was cancelled before it came, or came twice.
+    /// The attempt was cancelled before it came, or refused before.
     Seen,
 }
 
@@ -200,6 +200,10 @@
     }
 
     fn offer(&mut self, now: Instant, offer: Offer, out: &mut Vec<Output>) {
+        if self.has_started(offer.attempt) {
+            // A copy of what runs or ran: a refusal would be false evidence.
+            return;
+        }
         if let Some(refusal) = self.refusal(&offer) {
             let known = self.tombstones.contains_key(&offer.attempt);
             if !known {
@@ -212,6 +216,11 @@
         self.start(&offer, out);
     }
 
+    fn has_started(&self, attempt: AttemptId) -> bool {
+        let tombstone = self.tombstones.get(&attempt);
+        tombstone.is_some_and(|tombstone| tombstone.started)
+    }
+
     fn refusal(&self, offer: &Offer) -> Option<Refusal> {
         if offer.meant_for != self.incarnation {
             return Some(Refusal::OtherIncarnation);
@@ -382,17 +391,15 @@
     }
 
     #[test]
-    fn a_second_copy_never_starts() {
+    fn a_copy_of_a_started_attempt_neither_starts_nor_is_refused() {
         let (mut gate, now) = (gate(), Instant::now());
         assert_eq!(
             handle(&mut gate, now, offer(5, false)),
             [Output::Start(AttemptId(5))]
         );
+        assert!(handle(&mut gate, now, offer(5, false)).is_empty());
         handle(&mut gate, now, Input::Finished(AttemptId(5)));
-        assert_eq!(
-            handle(&mut gate, now, offer(5, false)),
-            [Output::Refuse(AttemptId(5), Refusal::Seen)]
-        );
+        assert!(handle(&mut gate, now, offer(5, false)).is_empty());
     }
 
     #[test]
--- a/crates/core/src/ledger/shard.rs
+++ b/crates/core/src/ledger/shard.rs
@@ -382,7 +382,7 @@
         {
             due.push(at);
         }
-        if self.write.is_none() && !self.queue.is_empty() {
+        if self.term().is_some() && self.write.is_none() && !self.queue.is_empty() {
             due.extend(self.next_write_at);
         }
         due.into_iter().min()
@@ -503,6 +503,7 @@
         };
         self.base = None;
         self.staged = None;
+        self.next_write_at = None;
         self.rolled = HashMap::default();
         if was_owned {
             out.push(Output::Lost);
--- a/crates/core/src/maps/leader.rs
+++ b/crates/core/src/maps/leader.rs
@@ -60,6 +60,8 @@
         /// Step that its engine has reached.
         step: StepNumber,
     },
+    /// A runner has seen a leader with this term.
+    Superseded(Term),
     /// This runner learnt a decision.
     Decided(Ballot, Decision),
     /// Time passed.
@@ -139,6 +141,11 @@
                 map,
                 step,
             } => self.staged(now, from, life, map, step, out),
+            LeaderInput::Superseded(term) => {
+                if self.image.as_ref().is_some_and(|image| image.term < term) {
+                    self.give_up(out);
+                }
+            }
             LeaderInput::Decided(ballot, decision) => self.decided(now, ballot, decision, out),
             LeaderInput::Tick => self.tick(now, out),
         }
@@ -275,10 +282,8 @@
         }
         proposal.staged[from] = Some((life, step));
         let complete = proposal.staged.iter().all(Option::is_some);
-        match (&self.state, complete) {
-            (State::Staging, true) => self.commit(now, out),
-            (State::Arming(_), true) => {}
-            _ => {}
+        if complete && self.state == State::Staging {
+            self.commit(now, out);
         }
     }
 
--- a/crates/core/src/maps/switch.rs
+++ b/crates/core/src/maps/switch.rs
@@ -8,8 +8,8 @@
 //! costs no availability, because a group makes no step without all its ranks.
 //!
 //! A vote to go stands in the engine, where a new life of the agent reads it
-//! back. If the engine is lost as well, the new life first has every peer
-//! ignore its predecessor, and then refuses what is still open.
+//! back. If the engine is lost, a new life begins in any case: it first has
+//! every peer ignore its predecessor, and then refuses what is still open.
 
 mod core;
 
@@ -81,6 +81,8 @@
         /// Step that the engine has reached.
         step: StepNumber,
     },
+    /// Another leader has taken over with this term.
+    Superseded(Term),
     /// The leader proposes a ballot to the lives of the runners that it names.
     Arm {
         /// The ballot.
@@ -114,6 +116,10 @@
     /// Run the ballot's step with the former map.
     Disarm(Ballot),
     /// Take up the state that the group has; for an engine without any.
+    ///
+    /// The engine learns the group's step as it joins. If that is past the
+    /// ballot's step already, it runs the ballot's map at once: what peers know
+    /// of their engines may be older than that step.
     Restore {
         /// Map to run.
         active: MapNumber,
--- a/crates/core/src/maps/switch/core.rs
+++ b/crates/core/src/maps/switch/core.rs
@@ -31,8 +31,8 @@
     ReadingBack,
     /// Peers are being asked; one answer each.
     Joining(Vec<Option<Standing>>),
-    /// The engine takes up the group's state with this map.
-    Restoring(MapNumber),
+    /// The engine takes up the group's state: a map, and a ballot to be armed for.
+    Restoring(MapNumber, Option<(Ballot, bool)>),
     Ready,
 }
 
@@ -117,6 +117,11 @@
         &self.engine
     }
 
+    /// Returns the life that every message must carry; it ends with the engine's.
+    pub fn life(&self) -> Incarnation {
+        self.life
+    }
+
     /// Returns whether the runner takes part in ballots.
     pub fn is_ready(&self) -> bool {
         self.phase == Phase::Ready
@@ -150,7 +155,7 @@
         }
         self.ask_at = None;
         match &self.phase {
-            Phase::ReadingBack | Phase::Restoring(_) => {
+            Phase::ReadingBack | Phase::Restoring(..) => {
                 self.read_back(now, out);
             }
             Phase::Joining(standings) => {
@@ -201,10 +206,14 @@
         if life < self.lives[from] {
             return;
         }
-        self.lives[from] = life;
+        if life > self.lives[from] {
+            self.lives[from] = life;
+            self.void_votes(from);
+        }
         match message {
             Message::Stage { term, map } => self.stage(from, term, map, out),
-            Message::Staged { .. } => {}
+            // These are for the leader.
+            Message::Staged { .. } | Message::Superseded(_) => {}
             Message::Arm { ballot, lives } => self.arm(now, ballot, &lives, out),
             Message::Vote(ballot, vote) => self.vote(now, from, ballot, vote, out),
             Message::Ask(ballot) => self.asked(now, from, ballot, out),
@@ -214,8 +223,22 @@
         }
     }
 
+    /// Forgets what a former life voted; what was decided stands.
+    fn void_votes(&mut self, from: usize) {
+        if let Some(open) = &mut self.open {
+            open.votes[from] = None;
+        }
+        for votes in self.early.values_mut() {
+            votes[from] = None;
+        }
+    }
+
     fn stage(&mut self, from: usize, term: Term, map: MapNumber, out: &mut Vec<SwitchOutput>) {
-        if self.phase != Phase::Ready || term < self.term {
+        if term < self.term {
+            out.push(SwitchOutput::Send(from, Message::Superseded(self.term)));
+            return;
+        }
+        if self.phase != Phase::Ready {
             return;
         }
         self.term = term;
@@ -246,8 +269,11 @@
         if self.open.as_ref().is_some_and(|open| open.ballot == ballot) {
             return;
         }
-        let takes_part = self.phase == Phase::Ready
-            && lives.get(self.me) == Some(&self.life)
+        if self.phase != Phase::Ready {
+            // What a former life voted may still count somewhere: say nothing.
+            return;
+        }
+        let takes_part = lives.get(self.me) == Some(&self.life)
             && ballot.term >= self.term
             && self.open.is_none()
             && self.engine.armed.is_none()
@@ -374,22 +400,16 @@
         }));
     }
 
-    /// Answers a life without memory; its predecessor's open vote is void.
+    /// Answers a life without memory; seeing it voided its predecessor's votes.
     fn join(&mut self, from: usize, out: &mut Vec<SwitchOutput>) {
         if matches!(self.phase, Phase::ReadingBack) {
             // It asks again.
             return;
         }
-        if let Some(open) = &mut self.open {
-            open.votes[from] = None;
-        }
-        for votes in self.early.values_mut() {
-            votes[from] = None;
-        }
         let active = match &self.phase {
             Phase::Ready => self.engine.active,
             // What it will run counts: a third runner must not choose another.
-            Phase::Restoring(active) => Some(*active),
+            Phase::Restoring(active, _) => Some(*active),
             Phase::ReadingBack | Phase::Joining(_) => None,
         };
         let standing = Standing {
@@ -453,7 +473,7 @@
             .find(|(ballot, _)| self.decision(*ballot) == Some(Decision::Go))
             .filter(|(ballot, _)| ballot.map > active)
             .map(|(ballot, _)| (ballot, true));
-        self.phase = Phase::Restoring(active);
+        self.phase = Phase::Restoring(active, armed);
         self.ask_at = Some(now + ASK_AFTER);
         out.push(SwitchOutput::Order(EngineOrder::Restore { active, armed }));
     }
@@ -554,16 +574,19 @@
         if let Phase::Joining(_) = self.phase {
             return;
         }
-        if let Phase::Restoring(active) = self.phase {
+        if let Phase::Restoring(active, armed) = self.phase {
             // The order was lost; the choice stands.
-            let armed = None;
             self.ask_at = Some(now + ASK_AFTER);
             out.push(SwitchOutput::Order(EngineOrder::Restore { active, armed }));
             return;
         }
         if had_state {
-            // The vote that stood in the engine is lost with it.
+            // The vote that stood in the engine is lost with it: a life of its
+            // own, so that no late message of the former one counts.
+            self.life = self.life.next();
+            self.lives[self.me] = self.life;
             self.open = None;
+            self.early.clear();
         }
         self.phase = Phase::Joining(vec![None; self.lives.len()]);
         self.ask_at = Some(now + ASK_AFTER);
--- a/crates/core/src/router/choice.rs
+++ b/crates/core/src/router/choice.rs
@@ -217,6 +217,14 @@
         self.runners.is_empty()
     }
 
+    /// Forgets which runners were passed over until now.
+    pub fn clear_expired(&mut self, now: Instant) {
+        for runner in self.runners.values_mut() {
+            runner.busy_until.take_if(|until| *until <= now);
+            runner.suspect_busy_until.take_if(|until| *until <= now);
+        }
+    }
+
     /// Returns when a runner that was passed over as busy may be asked again.
     pub fn next_deadline(&self) -> Option<Instant> {
         self.runners
--- a/crates/core/src/router/core.rs
+++ b/crates/core/src/router/core.rs
@@ -41,6 +41,8 @@
 const PACE_GAIN: f64 = 0.05;
 /// Answers before the pace is trusted for early rejection.
 const MIN_PACE_SAMPLES: u32 = 32;
+/// How long requests wait for any runner to come back before they are refused.
+const NO_RUNNER_GRACE: Duration = Duration::from_secs(2);
 /// Gap between answers that says nothing about the pace under load.
 const IDLE_GAP: Duration = Duration::from_secs(1);
 
@@ -118,6 +120,8 @@
     /// Attempts already made for requests that wait again.
     attempts: HashMap<RequestId, u32>,
     pace: Pace,
+    /// Since when no runner takes work.
+    no_runner_since: Option<Instant>,
     rng: SmallRng,
 }
 
@@ -161,6 +165,7 @@
             in_flight: HashMap::default(),
             attempts: HashMap::default(),
             pace: Pace::default(),
+            no_runner_since: Some(now),
             rng: SmallRng::seed_from_u64(seed),
             limits,
         }
@@ -168,6 +173,7 @@
 
     /// Takes an input and appends what has to be done.
     pub fn handle(&mut self, now: Instant, input: Input, out: &mut Vec<Output>) {
+        self.look_for_runners(now);
         match input {
             Input::Arrive(request, weight) => self.arrive(now, request, weight, out),
             Input::Ended { attempt, result } => self.ended(now, attempt, result, out),
@@ -186,12 +192,26 @@
             Input::Report(id, report) => self.chooser.report(now, &id, report),
             Input::Death(death) => self.death(now, &death, out),
             Input::Limits(limits) => self.set_limits(*limits),
-            Input::Tick => {}
+            Input::Tick => self.chooser.clear_expired(now),
         }
+        self.look_for_runners(now);
         self.expire(now, out);
         self.dispatch_waiting(now, out);
     }
 
+    fn look_for_runners(&mut self, now: Instant) {
+        if self.chooser.has_live_runner(&[]) {
+            self.no_runner_since = None;
+        } else {
+            self.no_runner_since.get_or_insert(now);
+        }
+    }
+
+    fn is_without_runner(&self, now: Instant) -> bool {
+        self.no_runner_since
+            .is_some_and(|since| now >= since + NO_RUNNER_GRACE)
+    }
+
     /// Returns when `Input::Tick` is due.
     pub fn next_deadline(&self) -> Option<Instant> {
         if self.waiting() == 0 {
@@ -202,6 +222,7 @@
             .into_iter()
             .chain(self.suspects.next_deadline())
             .chain(self.chooser.next_deadline())
+            .chain(self.no_runner_since.map(|since| since + NO_RUNNER_GRACE))
             .min()
     }
 
@@ -224,7 +245,7 @@
             ));
             return;
         }
-        if !self.chooser.has_live_runner(&request.excluded) {
+        if self.is_without_runner(now) {
             let retry_after = RETRY_AFTER_MIN;
             out.push(Output::Reject(
                 request.id,
@@ -384,6 +405,10 @@
     }
 
     fn expire(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.is_without_runner(now) {
+            self.refuse_all(out);
+            return;
+        }
         let due = |queue: &FairQueue| queue.next_deadline().is_some_and(|at| at <= now);
         if !due(&self.queue) && !due(&self.suspects) {
             return;
@@ -400,6 +425,18 @@
         }
     }
 
+    /// Refuses what waits: no runner has come back.
+    fn refuse_all(&mut self, out: &mut Vec<Output>) {
+        let retry_after = RETRY_AFTER_MIN;
+        while let Some(request) = self.queue.shed().or_else(|| self.suspects.shed()) {
+            self.attempts.remove(&request.id);
+            out.push(Output::Reject(
+                request.id,
+                Rejection::NoRunner { retry_after },
+            ));
+        }
+    }
+
     fn dispatch_waiting(&mut self, now: Instant, out: &mut Vec<Output>) {
         while let Some((request, runner)) = self.next_fit(now, true) {
             self.dispatch(now, request, runner, out);
@@ -497,6 +534,7 @@
     use crate::router::Request;
     use crate::router::RequestId;
     use crate::router::RetryRule;
+    use crate::router::RunnerState;
 
     struct Fixture {
         router: Router,
@@ -602,6 +640,57 @@
         }
     }
 
+    #[test]
+    fn a_tick_moves_the_next_deadline_on() {
+        let mut fixture = Fixture::new(&["a"], 1, 8);
+        let (attempt, ..) = dispatched(&fixture.arrive(1, RetryRule::Never));
+        let result = AttemptResult::Busy;
+        fixture.handle(Input::Ended { attempt, result });
+        let report = crate::router::RunnerReport {
+            in_flight: 1,
+            from_reader: 0,
+            max_in_flight: 1,
+        };
+        fixture
+            .router
+            .chooser
+            .report(fixture.now, &"a".into(), report);
+        fixture.router.chooser.busy(fixture.now, &"a".into(), false);
+        let due = fixture.router.next_deadline().expect("one waits");
+        fixture.now = due;
+        fixture.handle(Input::Tick);
+        assert!(fixture.router.next_deadline().is_none_or(|next| next > due));
+    }
+
+    #[test]
+    fn requests_wait_a_moment_for_a_runner_and_are_then_refused() {
+        let mut fixture = Fixture::new(&["a"], 1, 8);
+        let state = |state| Input::RunnerState("a".into(), state);
+        fixture.handle(state(RunnerState::Suspect));
+        assert!(fixture.arrive(1, RetryRule::Never).is_empty());
+        let due = fixture.router.next_deadline().expect("one waits");
+        let out = fixture.handle(state(RunnerState::Up));
+        dispatched(&out);
+        fixture.handle(state(RunnerState::Suspect));
+        fixture.arrive(2, RetryRule::Never);
+        fixture.now = due;
+        let out = fixture.handle(Input::Tick);
+        assert_eq!(
+            out,
+            [Output::Reject(
+                RequestId(2),
+                Rejection::NoRunner {
+                    retry_after: super::RETRY_AFTER_MIN
+                }
+            )]
+        );
+        let out = fixture.arrive(3, RetryRule::Never);
+        assert!(matches!(
+            out[..],
+            [Output::Reject(_, Rejection::NoRunner { .. })]
+        ));
+    }
+
     #[test]
     fn a_full_queue_sheds_at_once_with_advice_when_to_return() {
         let mut fixture = Fixture::new(&["a"], 1, 1);
--- a/crates/core/src/ticket.rs
+++ b/crates/core/src/ticket.rs
@@ -5,12 +5,16 @@
 //! heads with higher numbers, so nothing that was accepted reverts.
 
 mod book;
+mod desk;
 mod head;
 mod parse;
 mod wire;
 
 pub use book::Adoption;
 pub use book::TicketBook;
+pub use desk::Desk;
+pub use desk::DeskInput;
+pub use desk::DeskOutput;
 pub use head::AcceptStep;
 pub use head::Head;
 pub use head::HeadError;
--- /dev/null
+++ b/crates/faults/src/maps.rs
@@ -0,0 +1,56 @@
+//! Expert maps: three runners with their switches and engines, a leader, and
+//! the store with the group's object.
+
+mod engine;
+mod world;
+
+use std::time::Duration;
+
+use crate::fault::Fault;
+use crate::fault::Sabotage;
+use crate::maps::world::World;
+use crate::matrix::Promise;
+use crate::matrix::RunReport;
+use crate::matrix::Violation;
+
+/// When the last map is proposed: after every fault has ended.
+const PROBE_AT: Duration = Duration::from_secs(32);
+/// Number of that map.
+const PROBE_MAP: u64 = 1_000;
+/// End of a run.
+const END: Duration = Duration::from_secs(42);
+
+/// Runs one case, with engines that check fencing numbers and that do not.
+pub(crate) fn run(faults: &[Fault], sabotage: Option<Sabotage>) -> RunReport {
+    let mut report = run_with(faults, sabotage, false);
+    let checked = run_with(faults, sabotage, true);
+    report.violations.extend(checked.violations);
+    report
+}
+
+fn run_with(faults: &[Fault], sabotage: Option<Sabotage>, checks_fencing: bool) -> RunReport {
+    let mut world = World::new(faults, sabotage, checks_fencing);
+    world.propose(Duration::from_millis(100), 0, 1);
+    world.propose(Duration::from_millis(1_500), 1, 2);
+    world.propose(PROBE_AT, 2, PROBE_MAP);
+    world.run(END);
+    let mut report = RunReport {
+        steps: world.steps.clone(),
+        checked: vec![Promise::OneMap, Promise::GoesOn],
+        ..RunReport::default()
+    };
+    let mixed = world.mixed_steps();
+    report
+        .violations
+        .extend(mixed.into_iter().map(|seen| Violation {
+            promise: Promise::OneMap,
+            seen,
+        }));
+    if !world.runs_map(PROBE_MAP) {
+        report.violations.push(Violation {
+            promise: Promise::GoesOn,
+            seen: world.describe(),
+        });
+    }
+    report
+}
--- /dev/null
+++ b/crates/faults/src/maps/world.rs
@@ -0,0 +1,573 @@
+//! The runners of a group and the messages between them.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use wisteriawick_core::ids::Incarnation;
+use wisteriawick_core::ids::MapNumber;
+use wisteriawick_core::ids::ProcessId;
+use wisteriawick_core::ids::StepNumber;
+use wisteriawick_core::ledger::WriteResult;
+use wisteriawick_core::maps::EngineOrder;
+use wisteriawick_core::maps::EngineReport;
+use wisteriawick_core::maps::GroupImage;
+use wisteriawick_core::maps::Leader;
+use wisteriawick_core::maps::LeaderInput;
+use wisteriawick_core::maps::LeaderOutput;
+use wisteriawick_core::maps::Message;
+use wisteriawick_core::maps::Switch;
+use wisteriawick_core::maps::SwitchInput;
+use wisteriawick_core::maps::SwitchOutput;
+
+use crate::fault::Fault;
+use crate::fault::FaultKind;
+use crate::fault::LAST_FAULT;
+use crate::fault::LATE;
+use crate::fault::PAUSE;
+use crate::fault::REORDER;
+use crate::fault::REPLACE;
+use crate::fault::STORE_OUTAGE;
+use crate::fault::STORE_SLOWNESS;
+use crate::fault::Sabotage;
+use crate::fault::Step;
+use crate::fault::StepClass;
+use crate::maps::engine::Engine;
+use crate::queue::Next;
+use crate::queue::Queue;
+
+const RUNNERS: usize = 3;
+/// Time of a message, of an engine's answer, and of the store's.
+const HOP: Duration = Duration::from_millis(1);
+const ENGINE: Duration = Duration::from_millis(2);
+const STAGING: Duration = Duration::from_millis(30);
+const STORE: Duration = Duration::from_millis(5);
+const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time of a step of the group.
+const STEP: Duration = Duration::from_millis(20);
+/// Time that a dead engine takes to come back.
+const ENGINE_RESTART: Duration = Duration::from_millis(500);
+/// How long a silenced link stays silent before another is dialled.
+const LINK_SILENCE: Duration = Duration::from_secs(1);
+/// Pause between two tries to propose while a map is under way.
+const PROPOSE_AGAIN: Duration = Duration::from_secs(1);
+/// Steps of one run; more means that something does not come to rest.
+const MAX_STEPS: usize = 20_000;
+
+#[derive(Clone, Debug)]
+enum Event {
+    GroupStep,
+    Propose(usize, u64),
+    Message {
+        from: usize,
+        life: Incarnation,
+        to: usize,
+        message: Message,
+    },
+    Order {
+        runner: usize,
+        life: Incarnation,
+        order: EngineOrder,
+    },
+    Report {
+        runner: usize,
+        life: Incarnation,
+        report: EngineReport,
+    },
+    EngineUp(usize),
+    StoreRead(usize, Incarnation),
+    StoreWrite(usize, Incarnation, u64, GroupImage),
+    StoreAnswer(usize, Incarnation, LeaderInput),
+    Replace(usize),
+}
+
+struct Runner {
+    up: bool,
+    life: Incarnation,
+    paused_until: Option<Instant>,
+    switch: Switch,
+    leader: Leader,
+}
+
+/// Everything.
+pub(crate) struct World {
+    queue: Queue<Event>,
+    sabotage: Option<Sabotage>,
+    runners: Vec<Runner>,
+    engines: Vec<Engine>,
+    step: StepNumber,
+    /// Steps in which not every runner used the same map.
+    mixed: Vec<String>,
+    object: Option<GroupImage>,
+    version: u64,
+    down_until: Option<Instant>,
+    slow_until: Option<Instant>,
+    /// What goes from one runner to another vanishes until the time given.
+    silent: Vec<(usize, usize, Instant)>,
+    pub(crate) steps: Vec<Step>,
+    faults: Vec<Fault>,
+    next_life: u64,
+    checks_fencing: bool,
+}
+
+impl World {
+    pub(crate) fn new(faults: &[Fault], sabotage: Option<Sabotage>, checks_fencing: bool) -> Self {
+        let first = Some(MapNumber(0));
+        let mut world = Self {
+            queue: Queue::new(),
+            sabotage,
+            runners: Vec::new(),
+            engines: vec![Engine::new(first, checks_fencing); RUNNERS],
+            step: StepNumber(0),
+            mixed: Vec::new(),
+            object: None,
+            version: 0,
+            down_until: None,
+            slow_until: None,
+            silent: Vec::new(),
+            steps: Vec::new(),
+            faults: faults.to_vec(),
+            next_life: 0,
+            checks_fencing,
+        };
+        for index in 0..RUNNERS {
+            let runner = world.new_runner(index);
+            world.runners.push(runner);
+        }
+        for index in 0..RUNNERS {
+            world.switch(index, SwitchInput::Start);
+        }
+        world.queue.after(STEP, Event::GroupStep);
+        world
+    }
+
+    fn new_runner(&mut self, index: usize) -> Runner {
+        // Lives that end with an engine lie between.
+        self.next_life += 1_000;
+        let life = Incarnation(self.next_life);
+        let committed = self.object.as_ref().map_or(MapNumber(0), |o| o.committed);
+        Runner {
+            up: true,
+            life,
+            paused_until: None,
+            switch: Switch::new(index, RUNNERS, life, committed),
+            leader: Leader::new(ProcessId::new(format!("runner-{index}")), RUNNERS),
+        }
+    }
+
+    pub(crate) fn propose(&mut self, at: Duration, runner: usize, map: u64) {
+        self.queue.after(at, Event::Propose(runner, map));
+    }
+
+    /// Returns the steps in which maps differed.
+    pub(crate) fn mixed_steps(&self) -> Vec<String> {
+        self.mixed.clone()
+    }
+
+    /// Returns whether every engine runs a map, or one after it.
+    pub(crate) fn runs_map(&self, map: u64) -> bool {
+        let runs = |engine: &Engine| engine.active.is_some_and(|active| active.0 >= map);
+        self.engines.iter().all(runs)
+    }
+
+    pub(crate) fn describe(&self) -> String {
+        let ready: Vec<bool> = self.runners.iter().map(|r| r.switch.is_ready()).collect();
+        format!(
+            "step {}, ready {ready:?}, engines {:?}",
+            self.step, self.engines
+        )
+    }
+
+    pub(crate) fn run(&mut self, end: Duration) {
+        while self.queue.elapsed() < end && self.steps.len() < MAX_STEPS {
+            let timer = self.next_timer();
+            match self.queue.pop(timer.map(|(at, _)| at)) {
+                Some(Next::Event(event)) => self.take(event),
+                Some(Next::Timer) => {
+                    let Some((_, runner)) = timer else {
+                        continue;
+                    };
+                    if self.begin_step(StepClass::Local, Some(runner), None) {
+                        self.switch(runner, SwitchInput::Tick);
+                        self.leader(runner, LeaderInput::Tick);
+                    }
+                }
+                None => return,
+            }
+        }
+    }
+
+    fn next_timer(&self) -> Option<(Instant, usize)> {
+        let runners = self.runners.iter().enumerate().filter(|(_, r)| r.up);
+        let due = runners.filter_map(|(index, runner)| {
+            let switch = runner.switch.next_deadline();
+            let due = switch
+                .into_iter()
+                .chain(runner.leader.next_deadline())
+                .min()?;
+            let due = runner.paused_until.map_or(due, |until| due.max(until));
+            Some((due, index))
+        });
+        due.min_by_key(|(due, _)| *due)
+    }
+
+    fn take(&mut self, event: Event) {
+        if let Event::GroupStep = event {
+            self.group_step();
+            return;
+        }
+        let (class, runner) = classify(&event);
+        if let Some(until) = runner.and_then(|runner| self.runners[runner].paused_until)
+            && self.queue.now() < until
+        {
+            self.queue.after(until - self.queue.now(), event);
+            return;
+        }
+        if self.begin_step(class, runner, Some(&event)) {
+            self.deliver(event);
+        }
+    }
+
+    fn begin_step(
+        &mut self,
+        class: StepClass,
+        runner: Option<usize>,
+        event: Option<&Event>,
+    ) -> bool {
+        let index = self.steps.len();
+        let at = self.queue.elapsed();
+        self.steps.push(Step { class, at });
+        if at > LAST_FAULT {
+            return true;
+        }
+        let due: Vec<FaultKind> = self
+            .faults
+            .iter()
+            .filter(|fault| fault.at_step == index && fault.kind.fits(class))
+            .map(|fault| fault.kind)
+            .collect();
+        let mut takes_place = true;
+        for kind in due {
+            takes_place &= self.apply(kind, runner, event);
+        }
+        takes_place
+    }
+
+    fn apply(&mut self, kind: FaultKind, runner: Option<usize>, event: Option<&Event>) -> bool {
+        let now = self.queue.now();
+        match (kind, event) {
+            (FaultKind::Lost, Some(_)) => return false,
+            (FaultKind::Doubled, Some(event)) => self.queue.after(HOP, event.clone()),
+            (FaultKind::Late, Some(event)) => {
+                self.queue.after(LATE, event.clone());
+                return false;
+            }
+            (FaultKind::Reordered, Some(event)) => {
+                self.queue.after(REORDER, event.clone());
+                return false;
+            }
+            (FaultKind::SilentOneWay | FaultKind::SilentBothWays, Some(event)) => {
+                if let Event::Message { from, to, .. } = event {
+                    let until = now + LINK_SILENCE;
+                    self.silent.push((*from, *to, until));
+                    if kind == FaultKind::SilentBothWays {
+                        self.silent.push((*to, *from, until));
+                    }
+                }
+                return false;
+            }
+            (FaultKind::Killed, _) => {
+                if let Some(runner) = runner {
+                    self.runners[runner].up = false;
+                    self.queue.after(REPLACE, Event::Replace(runner));
+                    return false;
+                }
+            }
+            (FaultKind::Paused, _) => {
+                if let Some(runner) = runner {
+                    self.runners[runner].paused_until = Some(now + PAUSE);
+                    if let Some(event) = event {
+                        self.queue.after(PAUSE, event.clone());
+                    }
+                    return false;
+                }
+            }
+            (FaultKind::StoreDown, _) => self.down_until = Some(now + STORE_OUTAGE),
+            (FaultKind::StoreSlow, _) => self.slow_until = Some(now + STORE_OUTAGE),
+            (FaultKind::AnswerLost, Some(Event::StoreWrite(runner, life, version, image))) => {
+                self.write(*version, image);
+                let unknown = LeaderInput::Written(WriteResult::Unknown);
+                let answer = Event::StoreAnswer(*runner, *life, unknown);
+                self.queue.after(STORE_TIMEOUT, answer);
+                return false;
+            }
+            (FaultKind::OperatorRace, _) => {
+                // Another runner is told to lead at the same time.
+                let other = runner.map_or(2, |runner| (runner + 1) % RUNNERS);
+                self.queue.after(HOP, Event::Propose(other, 3));
+            }
+            (FaultKind::EndpointCrash, _) => self.crash_engine(runner.unwrap_or(0)),
+            _ => {}
+        }
+        true
+    }
+
+    fn crash_engine(&mut self, runner: usize) {
+        let mut engine = Engine::new(None, self.checks_fencing);
+        engine.up = false;
+        self.engines[runner] = engine;
+        self.queue.after(ENGINE_RESTART, Event::EngineUp(runner));
+    }
+
+    fn deliver(&mut self, event: Event) {
+        match event {
+            Event::GroupStep => {}
+            Event::Propose(runner, map) => self.propose_now(runner, map),
+            Event::Message {
+                from,
+                life,
+                to,
+                message,
+            } => self.message(from, life, to, message),
+            Event::Order {
+                runner,
+                life,
+                order,
+            } => {
+                // An order on its way is carried out whoever sent it.
+                let report = self.engines[runner].order(order, self.step);
+                let event = Event::Report {
+                    runner,
+                    life,
+                    report,
+                };
+                self.queue.after(HOP, event);
+            }
+            Event::Report {
+                runner,
+                life,
+                report,
+            } => {
+                if self.lives(runner, life) {
+                    self.switch(runner, SwitchInput::Engine(report));
+                }
+            }
+            Event::EngineUp(runner) => {
+                self.engines[runner].up = true;
+                if self.runners[runner].up {
+                    let view = self.engines[runner].view(self.step);
+                    let report = EngineReport::State(view);
+                    self.switch(runner, SwitchInput::Engine(report));
+                }
+            }
+            Event::StoreRead(runner, life) => self.store_read(runner, life),
+            Event::StoreWrite(runner, life, version, image) => {
+                self.store_write(runner, life, version, &image);
+            }
+            Event::StoreAnswer(runner, life, input) => {
+                if self.lives(runner, life) {
+                    self.leader(runner, input);
+                }
+            }
+            Event::Replace(runner) => {
+                if !self.runners[runner].up {
+                    self.runners[runner] = self.new_runner(runner);
+                    self.switch(runner, SwitchInput::Start);
+                }
+            }
+        }
+    }
+
+    fn lives(&self, runner: usize, life: Incarnation) -> bool {
+        self.runners[runner].up && self.runners[runner].life == life
+    }
+
+    fn propose_now(&mut self, runner: usize, map: u64) {
+        let busy = !self.runners[runner].up || self.runners[runner].leader.is_busy();
+        if busy {
+            let again = Event::Propose(runner, map);
+            self.queue.after(PROPOSE_AGAIN, again);
+            return;
+        }
+        self.leader(runner, LeaderInput::Propose(MapNumber(map)));
+    }
+
+    fn message(&mut self, from: usize, life: Incarnation, to: usize, message: Message) {
+        let now = self.queue.now();
+        let silent = self
+            .silent
+            .iter()
+            .any(|(a, b, until)| *a == from && *b == to && now < *until);
+        if silent || !self.runners[to].up {
+            return;
+        }
+        if let Message::Staged { map, step } = message {
+            let staged = LeaderInput::Staged {
+                from,
+                life,
+                map,
+                step,
+            };
+            self.leader(to, staged);
+            return;
+        }
+        if let Message::Superseded(term) = message {
+            self.leader(to, LeaderInput::Superseded(term));
+            return;
+        }
+        let input = SwitchInput::Peer {
+            from,
+            life,
+            message,
+        };
+        self.switch(to, input);
+    }
+
+    fn switch(&mut self, runner: usize, input: SwitchInput) {
+        let now = self.queue.now();
+        let mut out = Vec::new();
+        self.runners[runner].switch.handle(now, input, &mut out);
+        for output in out {
+            match output {
+                SwitchOutput::Send(_, Message::Ask(ballot))
+                    if self.sabotage == Some(Sabotage::GoInDoubt) =>
+                {
+                    self.order(runner, EngineOrder::Go(ballot));
+                }
+                SwitchOutput::Send(to, message) => self.send(runner, to, message),
+                SwitchOutput::Order(order) => self.order(runner, order),
+                SwitchOutput::Decided(ballot, decision) => {
+                    self.leader(runner, LeaderInput::Decided(ballot, decision));
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        let life = self.runners[from].switch.life();
+        let event = Event::Message {
+            from,
+            life,
+            to,
+            message,
+        };
+        self.queue.after(HOP, event);
+    }
+
+    fn order(&mut self, runner: usize, order: EngineOrder) {
+        let pause = match order {
+            EngineOrder::Stage(..) => STAGING,
+            _ => ENGINE,
+        };
+        let event = Event::Order {
+            runner,
+            life: self.runners[runner].life,
+            order,
+        };
+        self.queue.after(pause, event);
+    }
+
+    fn leader(&mut self, runner: usize, input: LeaderInput) {
+        let now = self.queue.now();
+        let mut out = Vec::new();
+        self.runners[runner].leader.handle(now, input, &mut out);
+        let life = self.runners[runner].life;
+        for output in out {
+            match output {
+                LeaderOutput::Read => self.queue.after(HOP, Event::StoreRead(runner, life)),
+                LeaderOutput::Write(version, image) => {
+                    let write = Event::StoreWrite(runner, life, version, image);
+                    self.queue.after(HOP, write);
+                }
+                LeaderOutput::SendAll(message) => {
+                    for to in 0..RUNNERS {
+                        self.send(runner, to, message.clone());
+                    }
+                }
+                LeaderOutput::Finished(_) => {}
+                LeaderOutput::GivenUp(map) => {
+                    // The planner proposes again later.
+                    let again = Event::Propose(runner, map.0 + 1);
+                    self.queue.after(PROPOSE_AGAIN, again);
+                }
+            }
+        }
+    }
+
+    fn store_pause(&self) -> Option<Duration> {
+        let now = self.queue.now();
+        if self.down_until.is_some_and(|until| now < until) {
+            return None;
+        }
+        let slow = self.slow_until.is_some_and(|until| now < until);
+        Some(if slow { STORE_SLOWNESS } else { STORE })
+    }
+
+    fn store_read(&mut self, runner: usize, life: Incarnation) {
+        let (pause, input) = match self.store_pause() {
+            Some(pause) => {
+                let input = LeaderInput::Read(self.version, self.object.clone());
+                (pause, input)
+            }
+            None => (STORE_TIMEOUT, LeaderInput::ReadFailed),
+        };
+        let answer = Event::StoreAnswer(runner, life, input);
+        self.queue.after(pause, answer);
+    }
+
+    fn store_write(
+        &mut self,
+        runner: usize,
+        life: Incarnation,
+        if_version: u64,
+        image: &GroupImage,
+    ) {
+        let (pause, result) = match self.store_pause() {
+            Some(pause) => (pause, self.write(if_version, image)),
+            None => (STORE_TIMEOUT, WriteResult::Unknown),
+        };
+        let answer = Event::StoreAnswer(runner, life, LeaderInput::Written(result));
+        self.queue.after(pause, answer);
+    }
+
+    fn write(&mut self, if_version: u64, image: &GroupImage) -> WriteResult {
+        if if_version != self.version {
+            return WriteResult::Conflict;
+        }
+        self.version += 1;
+        self.object = Some(image.clone());
+        WriteResult::Written(self.version)
+    }
+
+    /// Runs the next step of the group if every engine may.
+    fn group_step(&mut self) {
+        self.queue.after(STEP, Event::GroupStep);
+        let step = self.step.next();
+        if !self.engines.iter().all(|engine| engine.may_run(step)) {
+            return;
+        }
+        let maps: Vec<Option<MapNumber>> = self
+            .engines
+            .iter_mut()
+            .map(|engine| engine.run(step))
+            .collect();
+        self.step = step;
+        if maps.iter().any(|map| *map != maps[0]) {
+            self.mixed.push(format!("step {step} ran with {maps:?}"));
+        }
+    }
+}
+
+fn classify(event: &Event) -> (StepClass, Option<usize>) {
+    match event {
+        Event::GroupStep | Event::Propose(..) | Event::EngineUp(_) | Event::Replace(_) => {
+            (StepClass::Outside, None)
+        }
+        Event::Message { to, .. } => (StepClass::Message, Some(*to)),
+        // An order on its way does not wait for the agent that sent it.
+        Event::Order { .. } => (StepClass::Local, None),
+        Event::Report { runner, .. } => (StepClass::Local, Some(*runner)),
+        Event::StoreRead(..) => (StepClass::Store, None),
+        Event::StoreWrite(..) => (StepClass::StoreWrite, None),
+        Event::StoreAnswer(runner, ..) => (StepClass::Store, Some(*runner)),
+    }
+}
--- /dev/null
+++ b/crates/faults/src/tickets/world.rs
@@ -0,0 +1,520 @@
+//! The desks, the processes, and the ways by which a head reaches them.
+
+use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use wisteriawick_core::ids::TicketNumber;
+use wisteriawick_core::ledger::WriteResult;
+use wisteriawick_core::ticket::Adoption;
+use wisteriawick_core::ticket::Desk;
+use wisteriawick_core::ticket::DeskInput;
+use wisteriawick_core::ticket::DeskOutput;
+use wisteriawick_core::ticket::Head;
+use wisteriawick_core::ticket::Ticket;
+use wisteriawick_core::ticket::TicketBook;
+
+use crate::fault::Fault;
+use crate::fault::FaultKind;
+use crate::fault::LAST_FAULT;
+use crate::fault::LATE;
+use crate::fault::PAUSE;
+use crate::fault::REORDER;
+use crate::fault::REPLACE;
+use crate::fault::STORE_OUTAGE;
+use crate::fault::STORE_SLOWNESS;
+use crate::fault::Sabotage;
+use crate::fault::Step;
+use crate::fault::StepClass;
+use crate::queue::Next;
+use crate::queue::Queue;
+
+/// The first processes are entries, the rest agents.
+const ENTRIES: usize = 2;
+const PROCESSES: usize = 4;
+const HOP: Duration = Duration::from_millis(1);
+const STORE: Duration = Duration::from_millis(5);
+const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+const DESK_PAUSE: Duration = Duration::from_millis(300);
+/// Time between heartbeats; longer than in service, to keep runs short.
+const BEAT: Duration = Duration::from_secs(1);
+/// Longest wait of a watch: the head is read at least this often.
+const WATCH: Duration = Duration::from_secs(5);
+/// Within this time an accepted ticket is in force wherever work is taken.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(16);
+/// How long a silenced link stays silent before another is dialled.
+const LINK_SILENCE: Duration = Duration::from_secs(1);
+const MAX_STEPS: usize = 20_000;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Apply(usize, Vec<u64>),
+    ApplyNext,
+    DeskRead(usize),
+    DeskWrite(usize, u64, Box<Head>),
+    DeskAnswer(usize, DeskInput),
+    /// The store shows a head to an entry.
+    Watch(usize, Arc<Head>),
+    /// An entry's watch ends and begins again.
+    Rewatch(usize),
+    Beats,
+    Beat {
+        from: usize,
+        to: usize,
+        number: TicketNumber,
+        tag: u64,
+    },
+    Push {
+        from: usize,
+        to: usize,
+        head: Arc<Head>,
+    },
+    Replace(usize),
+}
+
+struct Process {
+    up: bool,
+    paused_until: Option<Instant>,
+    book: TicketBook,
+    /// Highest number in force in this life.
+    highest: TicketNumber,
+}
+
+impl Process {
+    fn new() -> Self {
+        Self {
+            up: true,
+            paused_until: None,
+            book: TicketBook::new(),
+            highest: TicketNumber(0),
+        }
+    }
+}
+
+/// Everything.
+pub(crate) struct World {
+    queue: Queue<Event>,
+    sabotage: Option<Sabotage>,
+    processes: Vec<Process>,
+    desks: BTreeMap<usize, Desk>,
+    head: Arc<Head>,
+    former: Arc<Head>,
+    version: u64,
+    /// When each ticket was accepted, and its digest.
+    accepted: BTreeMap<TicketNumber, (Instant, u64)>,
+    down_until: Option<Instant>,
+    slow_until: Option<Instant>,
+    silent: Vec<(usize, usize, Instant)>,
+    pub(crate) violations: Vec<String>,
+    pub(crate) steps: Vec<Step>,
+    faults: Vec<Fault>,
+    next_desk: usize,
+}
+
+fn ticket(number: u64, variant: &str) -> Ticket {
+    let text = format!("number = {number}\ntitle = \"{variant}\"\n");
+    Ticket::parse("t.toml", &text).expect("the ticket is valid")
+}
+
+impl World {
+    pub(crate) fn new(faults: &[Fault], sabotage: Option<Sabotage>) -> Self {
+        let empty = Arc::new(Head::empty());
+        let mut world = Self {
+            queue: Queue::new(),
+            sabotage,
+            processes: (0..PROCESSES).map(|_| Process::new()).collect(),
+            desks: BTreeMap::new(),
+            head: Arc::clone(&empty),
+            former: empty,
+            version: 0,
+            accepted: BTreeMap::new(),
+            down_until: None,
+            slow_until: None,
+            silent: Vec::new(),
+            violations: Vec::new(),
+            steps: Vec::new(),
+            faults: faults.to_vec(),
+            next_desk: 10,
+        };
+        world.queue.after(BEAT, Event::Beats);
+        for entry in 0..ENTRIES {
+            world.queue.after(WATCH, Event::Rewatch(entry));
+        }
+        world
+    }
+
+    pub(crate) fn apply(&mut self, at: Duration, desk: usize, numbers: RangeInclusive<u64>) {
+        self.queue.after(at, Event::Apply(desk, numbers.collect()));
+    }
+
+    /// Applies the ticket that follows whatever is accepted by then.
+    pub(crate) fn apply_next(&mut self, at: Duration) {
+        self.queue.after(at, Event::ApplyNext);
+    }
+
+    pub(crate) fn run(&mut self, end: Duration) {
+        while self.queue.elapsed() < end && self.steps.len() < MAX_STEPS {
+            let Some(Next::Event(event)) = self.queue.pop(None) else {
+                return;
+            };
+            self.take(event);
+            self.look();
+        }
+    }
+
+    /// Returns what is not in force everywhere at the end.
+    pub(crate) fn behind(&self) -> Option<String> {
+        let last = self.head.number;
+        let numbers: Vec<u64> = self.processes.iter().map(|p| p.book.number().0).collect();
+        let everywhere = numbers.iter().all(|number| *number == last.0);
+        let alike = self
+            .processes
+            .iter()
+            .all(|p| p.book.tag() == self.head.tag());
+        let probed = self.accepted.values().any(|(at, _)| {
+            self.queue.now().saturating_duration_since(*at) < Duration::from_secs(11)
+        });
+        (!everywhere || !alike || !probed)
+            .then(|| format!("head {last}, in force {numbers:?}, probe accepted: {probed}"))
+    }
+
+    fn take(&mut self, event: Event) {
+        if let Event::Beats = event {
+            self.send_beats();
+            return;
+        }
+        let (class, process) = classify(&event);
+        if let Some(until) = process.and_then(|process| self.processes[process].paused_until)
+            && self.queue.now() < until
+        {
+            self.queue.after(until - self.queue.now(), event);
+            return;
+        }
+        if self.begin_step(class, process, &event) {
+            self.deliver(event);
+        }
+    }
+
+    fn begin_step(&mut self, class: StepClass, process: Option<usize>, event: &Event) -> bool {
+        let index = self.steps.len();
+        let at = self.queue.elapsed();
+        self.steps.push(Step { class, at });
+        if at > LAST_FAULT {
+            return true;
+        }
+        let due: Vec<FaultKind> = self
+            .faults
+            .iter()
+            .filter(|fault| fault.at_step == index && fault.kind.fits(class))
+            .map(|fault| fault.kind)
+            .collect();
+        let mut takes_place = true;
+        for kind in due {
+            takes_place &= self.fault(kind, process, event);
+        }
+        takes_place
+    }
+
+    fn fault(&mut self, kind: FaultKind, process: Option<usize>, event: &Event) -> bool {
+        let now = self.queue.now();
+        match kind {
+            FaultKind::Lost => return false,
+            FaultKind::Doubled => self.queue.after(HOP, event.clone()),
+            FaultKind::Late => {
+                self.queue.after(LATE, event.clone());
+                return false;
+            }
+            FaultKind::Reordered => {
+                self.queue.after(REORDER, event.clone());
+                return false;
+            }
+            FaultKind::SilentOneWay | FaultKind::SilentBothWays => {
+                if let Event::Beat { from, to, .. } | Event::Push { from, to, .. } = event {
+                    let until = now + LINK_SILENCE;
+                    self.silent.push((*from, *to, until));
+                    if kind == FaultKind::SilentBothWays {
+                        self.silent.push((*to, *from, until));
+                    }
+                }
+                return false;
+            }
+            FaultKind::Killed => {
+                if let Some(process) = process {
+                    self.processes[process].up = false;
+                    self.queue.after(REPLACE, Event::Replace(process));
+                    return false;
+                }
+            }
+            FaultKind::Paused => {
+                if let Some(process) = process {
+                    self.processes[process].paused_until = Some(now + PAUSE);
+                    self.queue.after(PAUSE, event.clone());
+                    return false;
+                }
+            }
+            FaultKind::StoreDown => self.down_until = Some(now + STORE_OUTAGE),
+            FaultKind::StoreSlow => self.slow_until = Some(now + STORE_OUTAGE),
+            FaultKind::AnswerLost => {
+                if let Event::DeskWrite(desk, version, head) = event {
+                    self.write(*version, head);
+                    let unknown = DeskInput::Written(WriteResult::Unknown);
+                    let answer = Event::DeskAnswer(*desk, unknown);
+                    self.queue.after(STORE_TIMEOUT, answer);
+                    return false;
+                }
+            }
+            FaultKind::StaleWatch => {
+                if let Event::Watch(entry, _) = event {
+                    let stale = Event::Watch(*entry, Arc::clone(&self.former));
+                    self.queue.after(HOP, stale);
+                    self.queue.after(STORE_OUTAGE, event.clone());
+                    return false;
+                }
+            }
+            FaultKind::OperatorRace => {
+                // Another desk wants the next number for something else.
+                let number = self.head.number.0 + 1;
+                let desk = self.new_desk(Desk::new("rival", [ticket(number, "rival")]));
+                self.desk(desk, DeskInput::Begin);
+            }
+            FaultKind::EndpointCrash => {}
+        }
+        true
+    }
+
+    fn new_desk(&mut self, desk: Desk) -> usize {
+        self.next_desk += 1;
+        self.desks.insert(self.next_desk, desk);
+        self.next_desk
+    }
+
+    fn deliver(&mut self, event: Event) {
+        match event {
+            Event::Apply(desk, numbers) => {
+                let tickets = numbers.into_iter().map(|number| ticket(number, "plan"));
+                self.desks.insert(desk, Desk::new("desk", tickets));
+                self.desk(desk, DeskInput::Begin);
+            }
+            Event::ApplyNext => {
+                let number = self.head.number.0 + 1;
+                let desk = self.new_desk(Desk::new("desk", [ticket(number, "probe")]));
+                self.desk(desk, DeskInput::Begin);
+            }
+            Event::DeskRead(desk) => self.desk_reads(desk),
+            Event::DeskWrite(desk, version, head) => self.desk_writes(desk, version, &head),
+            Event::DeskAnswer(desk, input) => self.desk(desk, input),
+            Event::Watch(entry, head) => {
+                if self.processes[entry].up {
+                    self.offer(entry, &head);
+                }
+            }
+            Event::Rewatch(entry) => self.rewatch(entry),
+            Event::Beats => {}
+            Event::Beat {
+                from,
+                to,
+                number,
+                tag,
+            } => self.beat(from, to, number, tag),
+            Event::Push { from, to, head } => {
+                if self.gets_through(from, to) {
+                    self.offer(to, &head);
+                }
+            }
+            Event::Replace(process) => {
+                if !self.processes[process].up {
+                    self.processes[process] = Process::new();
+                    if process < ENTRIES {
+                        self.queue.after(HOP, Event::Rewatch(process));
+                    }
+                }
+            }
+        }
+    }
+
+    fn gets_through(&self, from: usize, to: usize) -> bool {
+        let now = self.queue.now();
+        let silent = self
+            .silent
+            .iter()
+            .any(|(a, b, until)| *a == from && *b == to && now < *until);
+        self.processes[to].up && !silent
+    }
+
+    fn store_pause(&self) -> Option<Duration> {
+        let now = self.queue.now();
+        if self.down_until.is_some_and(|until| now < until) {
+            return None;
+        }
+        let slow = self.slow_until.is_some_and(|until| now < until);
+        Some(if slow { STORE_SLOWNESS } else { STORE })
+    }
+
+    fn desk(&mut self, desk: usize, input: DeskInput) {
+        let mut out = Vec::new();
+        if let Some(held) = self.desks.get_mut(&desk) {
+            held.handle(input, &mut out);
+        }
+        for output in out {
+            match output {
+                DeskOutput::Read => self.queue.after(HOP, Event::DeskRead(desk)),
+                DeskOutput::ReadLater => self.queue.after(DESK_PAUSE, Event::DeskRead(desk)),
+                DeskOutput::Write(version, head) => {
+                    let write = Event::DeskWrite(desk, version, head);
+                    self.queue.after(HOP, write);
+                }
+                DeskOutput::Accepted(..) | DeskOutput::Refused(_) | DeskOutput::Done => {}
+            }
+        }
+    }
+
+    fn desk_reads(&mut self, desk: usize) {
+        let (pause, input) = match self.store_pause() {
+            Some(pause) => (
+                pause,
+                DeskInput::Read(self.version, Head::clone(&self.head)),
+            ),
+            None => (STORE_TIMEOUT, DeskInput::ReadFailed),
+        };
+        self.queue.after(pause, Event::DeskAnswer(desk, input));
+    }
+
+    fn desk_writes(&mut self, desk: usize, version: u64, head: &Head) {
+        let (pause, result) = match self.store_pause() {
+            Some(pause) => (pause, self.write(version, head)),
+            None => (STORE_TIMEOUT, WriteResult::Unknown),
+        };
+        let answer = Event::DeskAnswer(desk, DeskInput::Written(result));
+        self.queue.after(pause, answer);
+    }
+
+    fn write(&mut self, if_version: u64, head: &Head) -> WriteResult {
+        if if_version != self.version {
+            return WriteResult::Conflict;
+        }
+        self.version += 1;
+        self.former = std::mem::replace(&mut self.head, Arc::new(head.clone()));
+        self.accepted
+            .insert(head.number, (self.queue.now(), head.tag()));
+        for entry in 0..ENTRIES {
+            let watch = Event::Watch(entry, Arc::clone(&self.head));
+            self.queue.after(STORE, watch);
+        }
+        WriteResult::Written(self.version)
+    }
+
+    fn rewatch(&mut self, entry: usize) {
+        if self.processes[entry].up {
+            if let Some(pause) = self.store_pause() {
+                let watch = Event::Watch(entry, Arc::clone(&self.head));
+                self.queue.after(pause, watch);
+            }
+            self.queue.after(WATCH, Event::Rewatch(entry));
+        }
+    }
+
+    fn offer(&mut self, process: usize, head: &Arc<Head>) {
+        let now = self.queue.now();
+        let held = &mut self.processes[process];
+        if head.number.0 == 0 {
+            return;
+        }
+        if self.sabotage == Some(Sabotage::TakeAnyHead) {
+            held.book = TicketBook::new();
+        }
+        let adoption = held.book.offer(now, head);
+        if adoption == Adoption::Conflict {
+            self.violations.push(format!(
+                "process {process} was offered another {}",
+                head.number
+            ));
+        }
+        let number = held.book.number();
+        if number < held.highest {
+            self.violations
+                .push(format!("process {process} went back to {number}"));
+        }
+        held.highest = held.highest.max(number);
+        if adoption == Adoption::Adopted && process < ENTRIES {
+            for to in (0..PROCESSES).filter(|to| *to != process) {
+                let push = Event::Push {
+                    from: process,
+                    to,
+                    head: Arc::clone(head),
+                };
+                self.queue.after(HOP, push);
+            }
+        }
+    }
+
+    fn send_beats(&mut self) {
+        for from in 0..ENTRIES {
+            if !self.processes[from].up {
+                continue;
+            }
+            for to in (0..PROCESSES).filter(|to| *to != from) {
+                let book = &self.processes[from].book;
+                let beat = Event::Beat {
+                    from,
+                    to,
+                    number: book.number(),
+                    tag: book.tag(),
+                };
+                self.queue.after(HOP, beat);
+            }
+        }
+        self.queue.after(BEAT, Event::Beats);
+    }
+
+    /// An entry's beat; its answer shows whether the peer is behind.
+    fn beat(&mut self, from: usize, to: usize, number: TicketNumber, tag: u64) {
+        if !self.gets_through(from, to) {
+            return;
+        }
+        let now = self.queue.now();
+        let behind = self.processes[to].book.compare(now, number, tag);
+        let head = self.processes[from].book.head().cloned();
+        if let (true, Some(head), true) = (behind, head, self.processes[from].up) {
+            self.queue.after(HOP, Event::Push { from, to, head });
+        }
+    }
+
+    /// Looks whether work is taken anywhere by what a ticket has replaced.
+    fn look(&mut self) {
+        let now = self.queue.now();
+        let due = self
+            .accepted
+            .iter()
+            .rev()
+            .find(|(_, (at, _))| now >= *at + IN_FORCE_WITHIN)
+            .map(|(number, _)| *number);
+        let Some(due) = due else {
+            return;
+        };
+        for (index, process) in self.processes.iter().enumerate() {
+            let paused = process.paused_until.is_some_and(|until| now < until);
+            let serves = process.up && !paused && process.book.is_fresh(now, IN_FORCE_WITHIN);
+            if serves && process.book.number() < due {
+                let held = process.book.number();
+                self.violations.push(format!(
+                    "process {index} serves by {held} although {due} is due"
+                ));
+            }
+        }
+    }
+}
+
+fn classify(event: &Event) -> (StepClass, Option<usize>) {
+    match event {
+        Event::Apply(..) | Event::ApplyNext | Event::Beats | Event::Replace(_) => {
+            (StepClass::Outside, None)
+        }
+        Event::DeskRead(_) | Event::DeskAnswer(..) => (StepClass::Store, None),
+        Event::DeskWrite(..) => (StepClass::StoreWrite, None),
+        Event::Watch(entry, _) => (StepClass::Watch, Some(*entry)),
+        Event::Rewatch(entry) => (StepClass::Store, Some(*entry)),
+        Event::Beat { to, .. } | Event::Push { to, .. } => (StepClass::Message, Some(*to)),
+    }
+}
--- /dev/null
+++ b/crates/faults/tests/faults.rs
@@ -0,0 +1,110 @@
+//! Every fault at every step, pairs of faults, and proof that checks can fail.
+
+use wisteriawick_faults::Matrix;
+use wisteriawick_faults::Promise;
+use wisteriawick_faults::Sabotage;
+use wisteriawick_faults::Scenario;
+use wisteriawick_faults::run_pairs;
+use wisteriawick_faults::run_singles;
+
+/// Seed of the pairs that CI draws.
+const SEED: u64 = 1;
+/// Pairs that CI draws for each scenario.
+const PAIRS: usize = 400;
+
+fn assert_clean(matrix: &Matrix) {
+    let shown: Vec<_> = matrix.failures.iter().take(8).collect();
+    let count = matrix.failures.len();
+    assert!(count == 0, "{count} failures, the first: {shown:#?}");
+}
+
+#[test]
+fn every_fault_at_every_step_keeps_every_promise() {
+    let matrix = run_singles(&Scenario::ALL, None);
+    for promise in Promise::ALL {
+        assert!(
+            matrix.cases(promise) > 0,
+            "{} is not tested",
+            promise.name()
+        );
+    }
+    assert_clean(&matrix);
+}
+
+#[test]
+fn pairs_of_faults_keep_every_promise() {
+    assert_clean(&run_pairs(&Scenario::ALL, SEED, PAIRS));
+}
+
+#[test]
+fn the_same_seed_gives_the_same_verdict() {
+    let table = || run_pairs(&[Scenario::TakeOver], SEED, 30).to_string();
+    assert_eq!(table(), table());
+}
+
+/// Breaks a core on purpose and expects the matrix to catch it.
+fn assert_caught(sabotage: Sabotage, scenarios: &[Scenario], promise: Promise) {
+    let matrix = run_singles(scenarios, Some(sabotage));
+    let caught = matrix.failures.iter().any(|(.., v)| v.promise == promise);
+    assert!(caught, "{sabotage:?} does not break \"{}\"", promise.name());
+}
+
+#[test]
+fn sending_before_the_claim_is_durable_is_caught() {
+    let scenarios = [Scenario::ResentBooking];
+    assert_caught(Sabotage::ClaimAfterSending, &scenarios, Promise::AtMostOnce);
+}
+
+#[test]
+fn forgetting_attempts_is_caught() {
+    let scenarios = [Scenario::Booking, Scenario::ResentBooking];
+    assert_caught(Sabotage::ForgetAttempts, &scenarios, Promise::AtMostOnce);
+}
+
+#[test]
+fn an_unproved_not_run_is_caught() {
+    let scenarios = [Scenario::Booking, Scenario::ResentBooking];
+    assert_caught(Sabotage::GuessNotRun, &scenarios, Promise::NotRun);
+}
+
+#[test]
+fn trusting_a_lease_is_caught() {
+    let scenarios = [Scenario::ResentBooking, Scenario::TakeOver];
+    assert_caught(Sabotage::TrustLease, &scenarios, Promise::AtMostOnce);
+}
+
+#[test]
+fn relaying_strays_is_caught() {
+    let scenarios = [Scenario::Chat];
+    assert_caught(Sabotage::RelayStrays, &scenarios, Promise::WholeAnswer);
+}
+
+#[test]
+fn ignoring_a_leaving_runner_is_caught() {
+    let scenarios = [Scenario::RunnerLeaves];
+    assert_caught(Sabotage::IgnoreLeaving, &scenarios, Promise::Leaving);
+}
+
+#[test]
+fn dropping_work_on_shutdown_is_caught() {
+    let scenarios = [Scenario::EntryShutsDown];
+    assert_caught(Sabotage::DropOnShutdown, &scenarios, Promise::Shutdown);
+}
+
+#[test]
+fn going_on_in_doubt_is_caught() {
+    let scenarios = [Scenario::MapSwitch];
+    assert_caught(Sabotage::GoInDoubt, &scenarios, Promise::OneMap);
+}
+
+#[test]
+fn taking_any_head_is_caught() {
+    let scenarios = [Scenario::Ticket];
+    assert_caught(Sabotage::TakeAnyHead, &scenarios, Promise::Tickets);
+}
+
+#[test]
+fn never_noticing_a_dead_link_is_caught() {
+    let scenarios = [Scenario::Chat];
+    assert_caught(Sabotage::NeverNotice, &scenarios, Promise::GoesOn);
+}
--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -76,6 +76,7 @@
     };
     let reply = match gate.offer(offered).await {
         Verdict::Refuse(refusal) => Reply::Refused(refusal.into()),
+        Verdict::Copy => Reply::Failed("this attempt came before".into()),
         Verdict::Start(abort) => serve(gate, endpoint, attempt, &wire, &abort, &mut tx).await,
     };
     // The entry may be gone; a recovery finds the answer at the gate.
--- a/src/agent/gate_task.rs
+++ b/src/agent/gate_task.rs
@@ -44,6 +44,8 @@
     Start(CancellationToken),
     /// It did not and will not run.
     Refuse(Refusal),
+    /// It is a copy of an attempt that came before, whatever became of that.
+    Copy,
 }
 
 /// The answer of an attempt, once it has one.
@@ -259,8 +261,7 @@
         } = offered;
         let attempt = offer.attempt;
         if self.attempts.contains_key(&attempt) {
-            // The gate refuses a copy as well; its first keeps its place.
-            let _ = reply.send(Verdict::Refuse(Refusal::Seen));
+            let _ = reply.send(Verdict::Copy);
             return;
         }
         let held = Held {
@@ -274,6 +275,8 @@
         self.attempts.insert(attempt, held);
         self.offers.insert(attempt, reply);
         self.handle(Input::Offer(offer));
+        // The gate is silent about a copy of what started before.
+        self.reply(attempt, Verdict::Copy);
     }
 
     fn handle(&mut self, input: Input) {
--- a/src/command/dev.rs
+++ b/src/command/dev.rs
@@ -127,10 +127,8 @@
     pub async fn apply_tickets(&self) -> Result<()> {
         let client = ticket::platform_client(self.platform.addr());
         let tickets = ticket::read_dir(&self.ticket_dir())?;
-        for ticket in &tickets {
-            ticket::accept(&client, ticket, "dev").await?;
-        }
         let last = tickets.last().map_or(0, |t| t.number.0);
+        ticket::accept(&client, tickets, "dev").await?;
         tokio::time::timeout(READY_WITHIN, self.in_force(last))
             .await
             .map_err(|_| Error::Other("the fleet did not become ready; see the log".into()))
--- a/src/command/ticket.rs
+++ b/src/command/ticket.rs
@@ -1,12 +1,17 @@
 //! `ticket`: operators' change tickets.
 
+use std::collections::VecDeque;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 use wisteriawick_core::ids::TicketNumber;
+use wisteriawick_core::ledger::WriteResult;
 use wisteriawick_core::ticket::AcceptStep;
+use wisteriawick_core::ticket::Desk;
+use wisteriawick_core::ticket::DeskInput;
+use wisteriawick_core::ticket::DeskOutput;
 use wisteriawick_core::ticket::Head;
 use wisteriawick_core::ticket::HeadError;
 use wisteriawick_core::ticket::HeadWire;
@@ -22,8 +27,10 @@
 use crate::platform::PlatformError;
 use crate::settings::PlatformSettings;
 
-/// Tries to settle a write before the operator is asked to call again.
-const MAX_TRIES: u32 = 20;
+/// Pauses for the platform before the operator is asked to call again.
+const MAX_PAUSES: u32 = 20;
+/// What the operator is told then.
+const NO_ANSWER: &str = "the platform does not answer; apply the directory again, which is safe";
 /// Pause between two tries.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -99,59 +106,75 @@
     let tickets = read_dir(dir)?;
     let (_, head) = read_head(platform).await?;
     head.check_history(&tickets)?;
-    let mut accepted = 0;
-    for ticket in tickets.iter().filter(|t| t.number > head.number) {
-        if accept(platform, ticket, by).await? {
-            accepted += 1;
-            println!("ticket {} accepted: {}", ticket.number, ticket.title);
-        }
+    let total = tickets.len();
+    let open = tickets.into_iter().filter(|t| t.number > head.number);
+    let accepted = accept(platform, open, by).await?;
+    for number in &accepted {
+        println!("ticket {number} accepted");
     }
-    println!(
-        "{} tickets, {accepted} accepted now, {} in all",
-        tickets.len(),
-        tickets.last().map_or(0, |t| t.number.0)
-    );
+    println!("{total} tickets, {} accepted now", accepted.len());
     Ok(())
 }
 
-/// Has one ticket accepted; returns whether it was not accepted before.
+/// Has tickets accepted; returns the numbers of those that this call wrote.
 ///
 /// # Errors
 ///
-/// Fails when the ticket is refused, or the platform does not answer for long.
-pub async fn accept(platform: &PlatformClient, ticket: &Ticket, by: &str) -> Result<bool> {
-    let mut wrote = false;
-    for _ in 0..MAX_TRIES {
-        let step = match read_head(platform).await {
-            Ok((version, head)) => (version, head.accept(ticket, by)?),
-            Err(Error::Platform(PlatformError::Unavailable(_))) => {
-                tokio::time::sleep(RETRY_PAUSE).await;
-                continue;
-            }
-            Err(e) => return Err(e),
-        };
-        let (version, next) = match step {
-            // A lost answer is settled here: the head tells that it took effect.
-            (_, AcceptStep::AlreadyAccepted) => return Ok(wrote),
-            (version, AcceptStep::Write(next)) => (version, next),
-        };
-        wrote = true;
-        match platform
-            .write(HEAD_OBJECT, version, &HeadWire::from(&next))
-            .await
-        {
-            Ok(_) => return Ok(true),
-            Err(PlatformError::Conflict { .. }) => {}
-            Err(PlatformError::UnknownOutcome(_) | PlatformError::Unavailable(_)) => {
-                tokio::time::sleep(RETRY_PAUSE).await;
+/// Fails when a ticket is refused, or the platform does not answer for long.
+pub async fn accept(
+    platform: &PlatformClient,
+    tickets: impl IntoIterator<Item = Ticket>,
+    by: &str,
+) -> Result<Vec<TicketNumber>> {
+    let mut desk = Desk::new(by, tickets);
+    let mut inputs = VecDeque::from([DeskInput::Begin]);
+    let mut accepted = Vec::new();
+    let mut pauses = 0;
+    while let Some(input) = inputs.pop_front() {
+        let mut out = Vec::new();
+        desk.handle(input, &mut out);
+        for output in out {
+            match output {
+                DeskOutput::Read => inputs.push_back(read_for_desk(platform).await?),
+                DeskOutput::ReadLater => {
+                    pauses += 1;
+                    if pauses > MAX_PAUSES {
+                        return Err(Error::Other(NO_ANSWER.into()));
+                    }
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                    inputs.push_back(read_for_desk(platform).await?);
+                }
+                DeskOutput::Write(version, head) => {
+                    inputs.push_back(write_for_desk(platform, version, &head).await?);
+                }
+                DeskOutput::Accepted(number, true) => accepted.push(number),
+                DeskOutput::Accepted(_, false) | DeskOutput::Done => {}
+                DeskOutput::Refused(e) => return Err(e.into()),
             }
-            Err(e) => return Err(e.into()),
         }
     }
-    Err(Error::Other(format!(
-        "ticket {}: the platform does not answer; apply the directory again, which is safe",
-        ticket.number
-    )))
+    Ok(accepted)
+}
+
+async fn read_for_desk(platform: &PlatformClient) -> Result<DeskInput> {
+    match read_head(platform).await {
+        Ok((version, head)) => Ok(DeskInput::Read(version, head)),
+        Err(Error::Platform(PlatformError::Unavailable(_))) => Ok(DeskInput::ReadFailed),
+        Err(e) => Err(e),
+    }
+}
+
+async fn write_for_desk(platform: &PlatformClient, version: u64, head: &Head) -> Result<DeskInput> {
+    let wire = HeadWire::from(head);
+    let result = match platform.write(HEAD_OBJECT, version, &wire).await {
+        Ok(version) => WriteResult::Written(version),
+        Err(PlatformError::Conflict { .. }) => WriteResult::Conflict,
+        Err(PlatformError::UnknownOutcome(_) | PlatformError::Unavailable(_)) => {
+            WriteResult::Unknown
+        }
+        Err(e) => return Err(e.into()),
+    };
+    Ok(DeskInput::Written(result))
 }
 
 async fn read_head(platform: &PlatformClient) -> Result<(u64, Head)> {
