Run expert maps in the agents: plan, stage, commit, arm, go

Cause: the switch and the planner ran only in the fault matrix. Change: the agents' map task with links among a group's runners, the engine's HTTP edge behind one trait, plans by the leader, group state in status; dev shows drifting popularity. Found and mended: a leader proposed the same ballot again while its group stood still and then waited for ever (the matrix now also checks that no leader stays busy); repeated staging loaded weights twice; a closed pipe made the command line panic. Conclusion: a socket test drifts, switches, kills an engine and sees one map in every step.

--- a/crates/core/src/fleet/group.rs
+++ b/crates/core/src/fleet/group.rs
@@ -1,7 +1,10 @@
 //! A group of ranks that run in lock-step on one expert map.
 
+use std::time::Duration;
+
 use crate::ids::RunnerId;
 use crate::ids::ServiceId;
+use crate::maps::Shape;
 
 /// The declared shape and objective of a lock-step group.
 #[derive(Clone, Debug, PartialEq)]
@@ -24,9 +27,25 @@
     pub skew_weight: f64,
     /// Cost of moving one gigabyte of weights, in cost units.
     pub move_cost: f64,
+    /// Hours over which a move must pay.
+    pub horizon_h: f64,
+    /// Most bytes that one plan may load.
+    pub max_plan_bytes: u64,
+    /// Time between two plans.
+    pub plan_every: Duration,
 }
 
 impl Group {
+    /// Returns the group's shape.
+    pub fn shape(&self) -> Shape {
+        Shape {
+            ranks: self.ranks(),
+            experts: usize::from(self.experts),
+            layers: usize::from(self.layers),
+            slots: usize::from(self.slots),
+        }
+    }
+
     /// Returns the number of ranks.
     pub fn ranks(&self) -> usize {
         self.runners.len() * usize::from(self.ranks_per_runner)
--- a/crates/core/src/maps/leader.rs
+++ b/crates/core/src/maps/leader.rs
@@ -99,6 +99,8 @@
     /// Life and step of each runner that staged the map.
     staged: Vec<Option<(Incarnation, StepNumber)>>,
     ballots: u32,
+    /// Step of the last ballot; the next one is later.
+    last_step: StepNumber,
     give_up_at: Instant,
 }
 
@@ -170,6 +172,7 @@
             map,
             staged: vec![None; self.runners],
             ballots: 0,
+            last_step: StepNumber(0),
             give_up_at: now + STAGE_WITHIN,
         });
         self.state = State::Reading;
@@ -327,11 +330,15 @@
             .flatten()
             .map(|(_, step)| step.0)
             .max();
+        // A group that stands still reports the same step again, and a ballot
+        // that was decided stays decided.
+        let step = (reached.unwrap_or(0) + STEP_MARGIN).max(proposal.last_step.0 + 1);
         let ballot = Ballot {
             term: image.term,
             map: proposal.map,
-            step: StepNumber(reached.unwrap_or(0) + STEP_MARGIN),
+            step: StepNumber(step),
         };
+        proposal.last_step = ballot.step;
         proposal.ballots += 1;
         let lives = proposal
             .staged
--- a/crates/core/src/maps/plan.rs
+++ b/crates/core/src/maps/plan.rs
@@ -43,13 +43,13 @@
 
 impl PlanCost {
     /// Returns a group's costs.
-    pub fn new(group: &Group, horizon_h: f64, max_bytes: u64) -> Self {
+    pub fn new(group: &Group) -> Self {
         Self {
             skew_weight: group.skew_weight,
             move_cost: group.move_cost,
             expert_bytes: group.expert_bytes,
-            horizon_h,
-            max_bytes,
+            horizon_h: group.horizon_h,
+            max_bytes: group.max_plan_bytes,
         }
     }
 
--- a/crates/core/src/maps/switch/core.rs
+++ b/crates/core/src/maps/switch/core.rs
@@ -63,6 +63,8 @@
     initial: MapNumber,
     /// Who asked for which map to be staged.
     staging: Option<(usize, MapNumber)>,
+    /// The map that the engine is loading.
+    loading: Option<MapNumber>,
     ask_at: Option<Instant>,
 }
 
@@ -89,6 +91,7 @@
             },
             initial,
             staging: None,
+            loading: None,
             ask_at: None,
         }
     }
@@ -243,6 +246,15 @@
         }
         self.term = term;
         self.staging = Some((from, map));
+        if self.loading == Some(map) {
+            // Loading again would cost the weight store twice.
+            return;
+        }
+        if self.engine.staged.contains(&map) {
+            out.push(SwitchOutput::Order(EngineOrder::ReadBack));
+            return;
+        }
+        self.loading = Some(map);
         out.push(SwitchOutput::Order(EngineOrder::Stage(term, map)));
     }
 
@@ -264,6 +276,8 @@
     ) {
         if let Some(decision) = self.decision(ballot) {
             self.broadcast(&Message::Decided(ballot, decision), out);
+            // A leader here may have missed it.
+            out.push(SwitchOutput::Decided(ballot, decision));
             return;
         }
         if self.open.as_ref().is_some_and(|open| open.ballot == ballot) {
@@ -479,6 +493,12 @@
     }
 
     fn engine(&mut self, now: Instant, report: EngineReport, out: &mut Vec<SwitchOutput>) {
+        if let EngineReport::Done(EngineOrder::Stage(_, map))
+        | EngineReport::Refused(EngineOrder::Stage(_, map))
+        | EngineReport::Unknown(EngineOrder::Stage(_, map)) = report
+        {
+            self.loading.take_if(|loading| *loading == map);
+        }
         match report {
             EngineReport::State(view) => self.state_read(now, view, out),
             EngineReport::Done(order) => self.done(now, order, out),
--- a/crates/core/src/ticket/wire.rs
+++ b/crates/core/src/ticket/wire.rs
@@ -234,6 +234,24 @@
     expert_bytes: u64,
     skew_weight: f64,
     move_cost: f64,
+    #[serde(default = "default_horizon_h")]
+    horizon_h: f64,
+    #[serde(default = "default_max_plan_bytes")]
+    max_plan_bytes: u64,
+    #[serde(default = "default_plan_every_ms")]
+    plan_every_ms: u64,
+}
+
+fn default_horizon_h() -> f64 {
+    1.0
+}
+
+fn default_max_plan_bytes() -> u64 {
+    200_000_000_000
+}
+
+fn default_plan_every_ms() -> u64 {
+    300_000
 }
 
 impl From<&Group> for GroupWire {
@@ -248,6 +266,9 @@
             expert_bytes: group.expert_bytes,
             skew_weight: group.skew_weight,
             move_cost: group.move_cost,
+            horizon_h: group.horizon_h,
+            max_plan_bytes: group.max_plan_bytes,
+            plan_every_ms: group.plan_every.as_millis() as u64,
         }
     }
 }
@@ -274,6 +295,9 @@
             expert_bytes: self.expert_bytes,
             skew_weight: self.skew_weight,
             move_cost: self.move_cost,
+            horizon_h: self.horizon_h,
+            max_plan_bytes: self.max_plan_bytes,
+            plan_every: Duration::from_millis(self.plan_every_ms),
         };
         if group.ranks() == 0 {
             return Err(error(
@@ -292,12 +316,25 @@
                 "raise slots until ranks x slots reaches experts",
             ));
         }
-        let weights = [group.skew_weight, group.move_cost];
-        if weights.iter().any(|w| !w.is_finite() || *w < 0.0) {
+        let weights = [
+            ("skew_weight", group.skew_weight),
+            ("move_cost", group.move_cost),
+            ("horizon_h", group.horizon_h),
+        ];
+        for (key, weight) in weights {
+            if !weight.is_finite() || weight < 0.0 {
+                return Err(error(
+                    key,
+                    "is not a finite number",
+                    "state a number from 0",
+                ));
+            }
+        }
+        if group.plan_every.is_zero() {
             return Err(error(
-                "skew_weight",
-                "or move_cost is not a finite number from 0",
-                "state both as numbers from 0",
+                "plan_every_ms",
+                "is 0",
+                "state the time between plans",
             ));
         }
         Ok(group)
--- a/crates/faults/src/maps.rs
+++ b/crates/faults/src/maps.rs
@@ -46,7 +46,7 @@
             promise: Promise::OneMap,
             seen,
         }));
-    if !world.runs_map(PROBE_MAP) {
+    if !world.runs_map(PROBE_MAP) || world.is_leader_stuck() {
         report.violations.push(Violation {
             promise: Promise::GoesOn,
             seen: world.describe(),
--- a/crates/faults/src/maps/world.rs
+++ b/crates/faults/src/maps/world.rs
@@ -163,6 +163,11 @@
         self.mixed.clone()
     }
 
+    /// Returns whether a leader still works on a proposal of its own.
+    pub(crate) fn is_leader_stuck(&self) -> bool {
+        self.runners.iter().any(|runner| runner.leader.is_busy())
+    }
+
     /// Returns whether every engine runs a map, or one after it.
     pub(crate) fn runs_map(&self, map: u64) -> bool {
         let runs = |engine: &Engine| engine.active.is_some_and(|active| active.0 >= map);
@@ -171,10 +176,9 @@
 
     pub(crate) fn describe(&self) -> String {
         let ready: Vec<bool> = self.runners.iter().map(|r| r.switch.is_ready()).collect();
-        format!(
-            "step {}, ready {ready:?}, engines {:?}",
-            self.step, self.engines
-        )
+        let busy: Vec<bool> = self.runners.iter().map(|r| r.leader.is_busy()).collect();
+        let (step, engines) = (self.step, &self.engines);
+        format!("step {step}, ready {ready:?}, leading {busy:?}, engines {engines:?}")
     }
 
     pub(crate) fn run(&mut self, end: Duration) {
--- a/crates/faults/src/path/agents.rs
+++ b/crates/faults/src/path/agents.rs
@@ -78,7 +78,7 @@
 }
 
 impl World {
-    pub(crate) fn to_agent(
+    pub(crate) fn reach_agent(
         &mut self,
         agent: usize,
         back: Return,
--- a/crates/faults/src/path/entries.rs
+++ b/crates/faults/src/path/entries.rs
@@ -448,7 +448,7 @@
         }
     }
 
-    pub(crate) fn to_entry(
+    pub(crate) fn reach_entry(
         &mut self,
         back: Return,
         request: RequestId,
--- a/crates/faults/src/path/world.rs
+++ b/crates/faults/src/path/world.rs
@@ -674,7 +674,7 @@
             } => {
                 if self.gets_through(back.entry, to, back.link, true) {
                     let delay = self.queue.now() - sent - HOP;
-                    self.to_agent(to, back, request, delay, message);
+                    self.reach_agent(to, back, request, delay, message);
                 }
             }
             Event::ToEntry {
@@ -685,7 +685,7 @@
                 message,
             } => {
                 if self.gets_through(back.entry, from, back.link, false) {
-                    self.to_entry(back, request, attempt, message);
+                    self.reach_entry(back, request, attempt, message);
                 }
             }
             Event::Beat {
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -124,6 +124,9 @@
     /// until the restart.
     pub fn kill(&self) {
         self.lock().deaths += 1;
+        if let Some((group, runner)) = &self.group {
+            group.lose(*runner);
+        }
         self.life.lock().expect("no holder panics").cancel();
     }
 
--- a/crates/standins/src/engine/lockstep.rs
+++ b/crates/standins/src/engine/lockstep.rs
@@ -67,9 +67,10 @@
     go: bool,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Runner {
-    active: u64,
+    /// Map that it runs; `None` after the engine died, until it is restored.
+    active: Option<u64>,
     staged: BTreeMap<u64, Placement>,
     armed: Option<Armed>,
     /// Highest fencing number seen.
@@ -77,6 +78,18 @@
     stalled: bool,
 }
 
+impl Runner {
+    fn new(active: Option<u64>) -> Self {
+        Self {
+            active,
+            staged: BTreeMap::new(),
+            armed: None,
+            term: 0,
+            stalled: false,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct State {
     step: u64,
@@ -115,7 +128,7 @@
             state: Arc::new(Mutex::new(State {
                 step: 0,
                 held: 0,
-                runners: vec![Runner::default(); config.runners],
+                runners: vec![Runner::new(Some(0)); config.runners],
                 placement,
                 steps: Vec::new(),
                 popularity: vec![vec![1.0; config.experts]; config.layers],
@@ -153,6 +166,11 @@
         self.lock().runners[runner].stalled = stalled;
     }
 
+    /// Loses a runner's state, as when its engine dies.
+    pub fn lose(&self, runner: usize) {
+        self.lock().runners[runner] = Runner::new(None);
+    }
+
     /// Returns the steps that ran.
     pub fn steps(&self) -> Vec<StepRecord> {
         self.lock().steps.clone()
@@ -189,7 +207,7 @@
                 .armed
                 .as_ref()
                 .is_some_and(|armed| armed.step == step && !armed.go);
-            undecided || runner.stalled
+            undecided || runner.stalled || runner.active.is_none()
         });
         if blocked {
             state.held += 1;
@@ -202,15 +220,15 @@
                 .as_ref()
                 .is_some_and(|armed| armed.step == step);
             if let Some(armed) = runner.armed.take_if(|_| due) {
-                runner.active = armed.map;
-                activated = runner.staged.get(&armed.map).cloned();
+                runner.active = Some(armed.map);
+                activated = runner.staged.get(&armed.map).cloned().or(activated);
             }
         }
         if let Some(placement) = activated {
             state.placement = placement;
         }
         state.step = step;
-        let maps = state.runners.iter().map(|runner| runner.active).collect();
+        let maps = state.runners.iter().filter_map(|r| r.active).collect();
         if state.steps.len() < MAX_STEPS {
             state.steps.push(StepRecord { step, maps });
         }
@@ -315,6 +333,30 @@
         json_answer(StatusCode::OK, &json!({}))
     }
 
+    /// Takes up the group's state; a ballot whose step has passed is in force.
+    fn restore(&self, runner: usize, body: &Value) -> Response<Body> {
+        let mut state = self.lock();
+        let step = state.step;
+        let held = &mut state.runners[runner];
+        if held.active.is_none() {
+            held.active = body["active"].as_u64();
+            let armed = &body["armed"];
+            if let (Some(map), Some(at)) = (armed["map"].as_u64(), armed["step"].as_u64()) {
+                if at <= step {
+                    held.active = Some(map);
+                } else {
+                    held.armed = Some(Armed {
+                        term: armed["term"].as_u64().unwrap_or(0),
+                        map,
+                        step: at,
+                        go: armed["go"].as_bool().unwrap_or(false),
+                    });
+                }
+            }
+        }
+        json_answer(StatusCode::OK, &json!({}))
+    }
+
     fn read(&self, runner: usize) -> Response<Body> {
         let state = self.lock();
         let held = &state.runners[runner];
@@ -340,16 +382,12 @@
             "experts": state.popularity,
             "rank_times": state.last_rank_times[ranks.clone()],
             "rank_speeds": state.speeds[ranks],
-            "stalled": held_stalled(&state, runner),
+            "stalled": state.runners[runner].stalled,
         });
         json_answer(StatusCode::OK, &body)
     }
 }
 
-fn held_stalled(state: &State, runner: usize) -> bool {
-    state.runners[runner].stalled
-}
-
 pub(super) async fn handle(
     group: &LockstepGroup,
     runner: usize,
@@ -383,6 +421,7 @@
         "/v1/engine/map/arm" => group.arm(runner, term, map, step),
         "/v1/engine/map/go" => group.decide(runner, map, step, true),
         "/v1/engine/map/disarm" => group.decide(runner, map, step, false),
+        "/v1/engine/map/restore" => group.restore(runner, &body),
         _ => json_answer(StatusCode::NOT_FOUND, &json!({ "error": "no such path" })),
     }
 }
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod endpoint;
 mod gate_task;
+pub mod maps;
 mod service;
 
 use std::net::SocketAddr;
@@ -18,11 +19,14 @@
 pub(crate) use service::put_head;
 
 use crate::agent::gate_task::GateHandle;
+use crate::agent::maps::HttpEngine;
+use crate::agent::maps::MapHandle;
 use crate::error::Error;
 use crate::error::Result;
 use crate::link::spawn_listener;
 use crate::node::LoadBoard;
 use crate::node::Node;
+use crate::platform::PlatformClient;
 use crate::settings::AgentSettings;
 use crate::settings::RoleSettings;
 use crate::settings::Settings;
@@ -38,6 +42,8 @@
     /// Where entries dial.
     pub link_address: SocketAddr,
     gate: GateHandle,
+    /// The group's map, if the runner belongs to a group.
+    pub maps: MapHandle,
     /// Answers under way; a shutdown waits for them.
     answers: TaskTracker,
     cx: CancellationToken,
@@ -62,11 +68,19 @@
         let (link_address, inbound) =
             spawn_listener(Arc::clone(&node), settings.link_address, cx.clone())?;
         let answers = TaskTracker::new();
+        let platform = PlatformClient::new(&settings.platform, Arc::clone(&node.clock));
+        let maps = MapHandle::spawn(
+            Arc::clone(&node),
+            platform,
+            HttpEngine::new(Endpoint::new(role.endpoint_address)),
+            cx.clone(),
+        );
         spawn_tasks(&node, settings, role, &gate, &cx);
         tokio::spawn(service::serve(
             Arc::clone(&node),
             gate.clone(),
             Endpoint::new(role.endpoint_address),
+            maps.clone(),
             inbound,
             answers.clone(),
             cx.clone(),
@@ -75,6 +89,7 @@
             node,
             link_address,
             gate,
+            maps,
             answers,
             cx,
         })
--- /dev/null
+++ b/src/agent/maps/wire.rs
@@ -0,0 +1,201 @@
+//! Wire types of the messages between runners (postcard) and of the group's
+//! objects (JSON).
+
+use serde::Deserialize;
+use serde::Serialize;
+use wisteriawick_core::ids::Incarnation;
+use wisteriawick_core::ids::MapNumber;
+use wisteriawick_core::ids::ProcessId;
+use wisteriawick_core::ids::StepNumber;
+use wisteriawick_core::ids::Term;
+use wisteriawick_core::maps::Ballot;
+use wisteriawick_core::maps::Decision;
+use wisteriawick_core::maps::GroupImage;
+use wisteriawick_core::maps::Message;
+use wisteriawick_core::maps::Standing;
+use wisteriawick_core::maps::Vote;
+
+/// A message from a runner of a group to another.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct MapWire {
+    /// The group.
+    pub group: String,
+    /// The sender's life.
+    pub life: u64,
+    /// What it says.
+    pub message: MessageWire,
+}
+
+/// What an engine reports of its load.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct GroupLoadWire {
+    /// Speed of each rank of this runner; one is normal.
+    pub rank_speeds: Vec<f64>,
+    /// Whether the engine's ranks stand still.
+    pub stalled: bool,
+}
+
+/// A ballot.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct BallotWire {
+    term: u64,
+    map: u64,
+    step: u64,
+}
+
+impl From<Ballot> for BallotWire {
+    fn from(ballot: Ballot) -> Self {
+        Self {
+            term: ballot.term.0,
+            map: ballot.map.0,
+            step: ballot.step.0,
+        }
+    }
+}
+
+impl From<BallotWire> for Ballot {
+    fn from(wire: BallotWire) -> Self {
+        Self {
+            term: Term(wire.term),
+            map: MapNumber(wire.map),
+            step: StepNumber(wire.step),
+        }
+    }
+}
+
+/// What runners of a group tell each other; flags stand for votes and decisions.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum MessageWire {
+    /// Load a map.
+    Stage { term: u64, map: u64 },
+    /// A map is loaded.
+    Staged { map: u64, step: u64 },
+    /// Another leader has taken over.
+    Superseded(u64),
+    /// A ballot is proposed.
+    Arm { ballot: BallotWire, lives: Vec<u64> },
+    /// A vote; whether it is to go.
+    Vote(BallotWire, bool),
+    /// A runner in doubt asks.
+    Ask(BallotWire),
+    /// A decision; whether it is to go.
+    Decided(BallotWire, bool),
+    /// A life without memory asks what is open.
+    Join,
+    /// The answer to that.
+    Joined {
+        active: Option<u64>,
+        armed: Option<(BallotWire, bool)>,
+        open: Option<BallotWire>,
+        decided: Vec<(BallotWire, bool)>,
+    },
+}
+
+impl From<&Message> for MessageWire {
+    fn from(message: &Message) -> Self {
+        match message {
+            Message::Stage { term, map } => Self::Stage {
+                term: term.0,
+                map: map.0,
+            },
+            Message::Staged { map, step } => Self::Staged {
+                map: map.0,
+                step: step.0,
+            },
+            Message::Superseded(term) => Self::Superseded(term.0),
+            Message::Arm { ballot, lives } => Self::Arm {
+                ballot: (*ballot).into(),
+                lives: lives.iter().map(|life| life.0).collect(),
+            },
+            Message::Vote(ballot, vote) => Self::Vote((*ballot).into(), *vote == Vote::Armed),
+            Message::Ask(ballot) => Self::Ask((*ballot).into()),
+            Message::Decided(ballot, decision) => {
+                Self::Decided((*ballot).into(), *decision == Decision::Go)
+            }
+            Message::Join => Self::Join,
+            Message::Joined(standing) => Self::Joined {
+                active: standing.active.map(|map| map.0),
+                armed: standing.armed.map(|(ballot, go)| (ballot.into(), go)),
+                open: standing.open.map(Into::into),
+                decided: standing
+                    .decided
+                    .iter()
+                    .map(|(ballot, decision)| ((*ballot).into(), *decision == Decision::Go))
+                    .collect(),
+            },
+        }
+    }
+}
+
+fn decision(go: bool) -> Decision {
+    if go { Decision::Go } else { Decision::Disarm }
+}
+
+impl From<MessageWire> for Message {
+    fn from(wire: MessageWire) -> Self {
+        match wire {
+            MessageWire::Stage { term, map } => Self::Stage {
+                term: Term(term),
+                map: MapNumber(map),
+            },
+            MessageWire::Staged { map, step } => Self::Staged {
+                map: MapNumber(map),
+                step: StepNumber(step),
+            },
+            MessageWire::Superseded(term) => Self::Superseded(Term(term)),
+            MessageWire::Arm { ballot, lives } => Self::Arm {
+                ballot: ballot.into(),
+                lives: lives.into_iter().map(Incarnation).collect(),
+            },
+            MessageWire::Vote(ballot, armed) => {
+                let vote = if armed { Vote::Armed } else { Vote::Refused };
+                Self::Vote(ballot.into(), vote)
+            }
+            MessageWire::Ask(ballot) => Self::Ask(ballot.into()),
+            MessageWire::Decided(ballot, go) => Self::Decided(ballot.into(), decision(go)),
+            MessageWire::Join => Self::Join,
+            MessageWire::Joined {
+                active,
+                armed,
+                open,
+                decided,
+            } => Self::Joined(Standing {
+                active: active.map(MapNumber),
+                armed: armed.map(|(ballot, go)| (ballot.into(), go)),
+                open: open.map(Into::into),
+                decided: decided
+                    .into_iter()
+                    .map(|(ballot, go)| (ballot.into(), decision(go)))
+                    .collect(),
+            }),
+        }
+    }
+}
+
+/// The group's object.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct GroupImageWire {
+    term: u64,
+    leader: Option<String>,
+    committed: u64,
+}
+
+impl From<&GroupImage> for GroupImageWire {
+    fn from(image: &GroupImage) -> Self {
+        Self {
+            term: image.term.0,
+            leader: image.leader.as_ref().map(ToString::to_string),
+            committed: image.committed.0,
+        }
+    }
+}
+
+impl From<GroupImageWire> for GroupImage {
+    fn from(wire: GroupImageWire) -> Self {
+        Self {
+            term: Term(wire.term),
+            leader: wire.leader.map(ProcessId::new),
+            committed: MapNumber(wire.committed),
+        }
+    }
+}
--- a/src/agent/service.rs
+++ b/src/agent/service.rs
@@ -15,6 +15,7 @@
 use crate::agent::attempt;
 use crate::agent::gate_task::GateHandle;
 use crate::agent::gate_task::Question;
+use crate::agent::maps::MapHandle;
 use crate::command::status::ProcessStatus;
 use crate::link::Inbound;
 use crate::link::Open;
@@ -28,6 +29,7 @@
     node: Arc<Node>,
     gate: GateHandle,
     endpoint: Endpoint,
+    maps: MapHandle,
     mut inbound: mpsc::Receiver<Inbound>,
     answers: TaskTracker,
     cx: CancellationToken,
@@ -41,11 +43,18 @@
             return;
         };
         let (node, gate, endpoint) = (Arc::clone(&node), gate.clone(), endpoint.clone());
-        answers.spawn(async move { answer(&node, &gate, endpoint, stream).await });
+        let maps = maps.clone();
+        answers.spawn(async move { answer(&node, &gate, endpoint, &maps, stream).await });
     }
 }
 
-async fn answer(node: &Arc<Node>, gate: &GateHandle, endpoint: Endpoint, stream: Inbound) {
+async fn answer(
+    node: &Arc<Node>,
+    gate: &GateHandle,
+    endpoint: Endpoint,
+    maps: &MapHandle,
+    stream: Inbound,
+) {
     let Inbound {
         from, open, mut tx, ..
     } = stream;
@@ -66,7 +75,15 @@
         Open::PutHead(json) => put_head(node, &json),
         Open::GetHead => Reply::Config(head_json(node)),
         Open::Events(since) => Reply::Timeline(node.timeline.since(since.into())),
-        Open::Status => Reply::Status(ProcessStatus::of(node).to_json()),
+        Open::Status => Reply::Status(ProcessStatus::of(node).with_group(maps.status()).to_json()),
+        Open::Map(wire) => {
+            maps.message(&from, wire).await;
+            Reply::Ok
+        }
+        Open::GroupLoad => match maps.load().await {
+            Some(load) => Reply::GroupLoad(load),
+            None => Reply::Failed("this runner has no load to report".into()),
+        },
         Open::Hello(_)
         | Open::Claim(_)
         | Open::Settle { .. }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -8,6 +8,7 @@
 
 use crate::command;
 use crate::command::OperatorAccess;
+use crate::command::print_line;
 use crate::command::ticket;
 use crate::command::timeline::TimelineOptions;
 use crate::error::Error;
@@ -241,7 +242,7 @@
         return Err(Error::Other("no key; write it to standard input".into()));
     }
     let hash = wisteriawick_core::fleet::KeyHash::new(key);
-    println!("{}", hash.to_hex());
+    print_line(format_args!("{}", hash.to_hex()));
     Ok(())
 }
 
--- a/src/command.rs
+++ b/src/command.rs
@@ -4,9 +4,11 @@
 #[cfg(feature = "dev")]
 pub mod dev;
 mod operator;
+mod output;
 pub mod run;
 pub mod status;
 pub mod ticket;
 pub mod timeline;
 
 pub use operator::OperatorAccess;
+pub(crate) use output::print_line;
--- a/src/command/check.rs
+++ b/src/command/check.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use crate::command::print_line;
 use crate::error::Result;
 use crate::settings::RoleSettings;
 use crate::settings::Settings;
@@ -19,6 +20,10 @@
         RoleSettings::Entry(_) => "an entry",
         RoleSettings::Agent(_) => "an agent",
     };
-    println!("{}: {role} named {}", file.display(), settings.name);
+    print_line(format_args!(
+        "{}: {role} named {}",
+        file.display(),
+        settings.name
+    ));
     Ok(())
 }
--- a/src/command/dev.rs
+++ b/src/command/dev.rs
@@ -19,16 +19,20 @@
 use wisteriawick_core::time::SystemClock;
 use wisteriawick_standins::engine::Engine;
 use wisteriawick_standins::engine::EngineConfig;
+use wisteriawick_standins::engine::LockstepConfig;
+use wisteriawick_standins::engine::LockstepGroup;
 use wisteriawick_standins::plain::BookingLog;
 use wisteriawick_standins::plain::PlainService;
 use wisteriawick_standins::platform::Instance;
 use wisteriawick_standins::platform::Platform;
 
 pub use sizes::DevSizes;
+pub use sizes::GroupSize;
 pub use sizes::ServiceSize;
 
 use crate::agent::Agent;
 use crate::command::dev::certs::Authority;
+use crate::command::print_line;
 use crate::command::run::stop_signal;
 use crate::command::ticket;
 use crate::entry::Entry;
@@ -46,6 +50,10 @@
 
 /// The operators' token in `dev`.
 pub const DEV_TOKEN: &str = "dev-operator";
+/// Bytes a second that the weight store gives to one runner.
+const WEIGHT_RATE: u64 = 2_000_000_000;
+/// Time between two changes of which experts are popular.
+const DRIFT_EVERY: Duration = Duration::from_secs(5);
 /// Longest wait until everything is in force.
 const READY_WITHIN: Duration = Duration::from_secs(30);
 
@@ -69,6 +77,15 @@
     pub endpoint: DevEndpoint,
 }
 
+/// A lock-step group of engines.
+#[derive(Clone, Debug)]
+pub struct DevGroup {
+    /// Its runners, in order.
+    pub runners: Vec<String>,
+    /// What its engines do in common.
+    pub lockstep: LockstepGroup,
+}
+
 /// Everything that runs.
 #[derive(Debug)]
 pub struct DevFleet {
@@ -80,6 +97,8 @@
     pub entries: Vec<Entry>,
     /// Agents by name.
     pub runners: BTreeMap<String, DevRunner>,
+    /// Lock-step groups of engines.
+    pub groups: Vec<DevGroup>,
     /// Bookings that the plain services made.
     pub bookings: BookingLog,
     /// Where tickets, keys and the operators' token are kept while it runs.
@@ -106,6 +125,7 @@
             platform,
             entries: Vec::new(),
             runners: BTreeMap::new(),
+            groups: Vec::new(),
             bookings: BookingLog::default(),
             dir: dir.to_path_buf(),
             instances: Vec::new(),
@@ -157,6 +177,12 @@
         self.dir.join("tickets")
     }
 
+    /// Returns the layers and experts of the first groups.
+    fn experts(&self) -> (usize, usize) {
+        let mut groups = self.sizes.services.iter().filter_map(|s| s.group.as_ref());
+        groups.next().map_or((0, 1), |g| (g.layers, g.experts))
+    }
+
     /// Returns the API key of a workspace.
     pub fn key(workspace: &str) -> String {
         format!("key-{workspace}")
@@ -222,10 +248,11 @@
 
     async fn start_runners(&mut self) -> Result<()> {
         for service in self.sizes.services.clone() {
+            self.start_groups(&service);
             for index in 0..service.runners {
                 let places = &self.sizes.places;
                 let place = places[index % places.len()].clone();
-                let name = format!("{}-{}", service.name, index + 1);
+                let name = service.runner_name(index);
                 self.start_runner(&name, &service, &place).await?;
             }
         }
@@ -261,10 +288,41 @@
         Ok(())
     }
 
+    /// Starts the lock-step groups of a service's engines.
+    fn start_groups(&mut self, size: &ServiceSize) {
+        let Some(group) = &size.group else {
+            return;
+        };
+        for (index, runners) in size.group_runners().into_iter().enumerate() {
+            let config = LockstepConfig {
+                runners: group.runners,
+                ranks_per_runner: group.ranks_per_runner,
+                experts: group.experts,
+                layers: group.layers,
+                slots: group.slots,
+                step: Duration::from_millis(group.step_ms),
+                expert_bytes: group.expert_bytes,
+                weight_rate: WEIGHT_RATE,
+                // Of the two kinds of engine, one in two refuses old terms.
+                checks_fencing: index % 2 == 0,
+            };
+            let lockstep = LockstepGroup::start(config, self.cx.child_token());
+            self.groups.push(DevGroup { runners, lockstep });
+        }
+    }
+
+    fn membership_of(&self, name: &str) -> Option<(LockstepGroup, usize)> {
+        self.groups.iter().find_map(|group| {
+            let index = group.runners.iter().position(|runner| runner == name)?;
+            Some((group.lockstep.clone(), index))
+        })
+    }
+
     async fn start_endpoint(&self, name: &str, size: &ServiceSize) -> Result<DevEndpoint> {
         let cx = self.cx.child_token();
         let started = if size.is_model() {
-            Engine::start(0, EngineConfig::default(), None, cx)
+            let group = self.membership_of(name);
+            Engine::start(0, EngineConfig::default(), group, cx)
                 .await
                 .map(DevEndpoint::Engine)
         } else {
@@ -330,6 +388,10 @@
     let fleet = DevFleet::start(sizes, &dir, cx.clone()).await?;
     fleet.apply_tickets().await?;
     print_usage(&fleet);
+    for (index, group) in fleet.groups.iter().enumerate() {
+        let experts = fleet.experts();
+        tokio::spawn(drift(group.lockstep.clone(), index, experts, cx.clone()));
+    }
     stop_signal().await?;
     for entry in &fleet.entries {
         entry.shut_down().await;
@@ -338,47 +400,74 @@
     std::fs::remove_dir_all(&dir).map_err(Error::file(&dir))
 }
 
+/// Lets the popularity of experts wander, as it does with the hour.
+async fn drift(
+    group: LockstepGroup,
+    index: usize,
+    (layers, experts): (usize, usize),
+    cx: CancellationToken,
+) {
+    let mut round = 0usize;
+    loop {
+        let popularity = (0..layers)
+            .map(|layer| {
+                let hot = (round / 4 + layer * 7 + index * 11) % experts;
+                let share = |expert| if expert == hot { 8.0 } else { 1.0 };
+                (0..experts).map(share).collect()
+            })
+            .collect();
+        group.set_popularity(popularity);
+        round += 1;
+        tokio::select! {
+            () = tokio::time::sleep(DRIFT_EVERY) => {}
+            () = cx.cancelled() => return,
+        }
+    }
+}
+
 fn print_usage(fleet: &DevFleet) {
     let entry = &fleet.entries[0];
     let (http, ops) = (entry.http_address, entry.ops_address);
-    println!("platform   http://{}", fleet.platform.addr());
+    print_line(format_args!("platform   http://{}", fleet.platform.addr()));
     for entry in &fleet.entries {
-        println!(
+        print_line(format_args!(
             "{:<10} callers http://{}  operators http://{}",
             entry.node.name, entry.http_address, entry.ops_address
-        );
+        ));
     }
-    println!("runners    {}", fleet.runners.len());
-    println!("files      {}", fleet.dir.display());
+    print_line(format_args!("runners    {}", fleet.runners.len()));
+    print_line(format_args!("files      {}", fleet.dir.display()));
     let workspace = &fleet.sizes.workspaces[0].name;
     let key = DevFleet::key(workspace);
-    println!("\nTry:\n");
+    print_line(format_args!("\nTry:\n"));
     for service in &fleet.sizes.services {
         let name = &service.name;
         if service.is_model() {
-            println!(
+            print_line(format_args!(
                 "curl -N http://{http}/v1/chat/completions -H 'Authorization: Bearer {key}' \\\n  \
                  -d '{{\"model\":\"{name}\",\"stream\":true,\"max_tokens\":8,\
                  \"messages\":[{{\"role\":\"user\",\"content\":\"Summarise the survey\"}}]}}'\n"
-            );
+            ));
         } else {
-            println!(
+            print_line(format_args!(
                 "curl -i http://{http}/{name}/bookings -H 'Authorization: Bearer {key}' \\\n  \
                  -H 'Idempotency-Key: van-17' -d '{{\"id\":\"van-17\"}}'\n"
-            );
-            println!("curl -i http://{http}/{name}/jobs/42 -H 'Authorization: Bearer {key}'\n");
-            println!(
+            ));
+            print_line(format_args!(
+                "curl -i http://{http}/{name}/jobs/42 -H 'Authorization: Bearer {key}'\n"
+            ));
+            print_line(format_args!(
                 "curl -i http://{http}/v1/calls/{name}/van-17 -H 'Authorization: Bearer {key}'\n"
-            );
+            ));
         }
     }
     let token = fleet.dir.join("operator.token");
-    println!(
+    print_line(format_args!(
         "wisteriawick status --entry http://{ops} --token-file {}",
         token.display()
-    );
-    println!(
+    ));
+    print_line(format_args!(
         "wisteriawick timeline --entry http://{ops} --token-file {}",
         token.display()
-    );
+    ));
 }
--- a/src/command/dev/sizes.rs
+++ b/src/command/dev/sizes.rs
@@ -22,9 +22,54 @@
     pub runners: usize,
     /// Requests that one runner may hold.
     pub max_in_flight: u32,
+    /// The lock-step groups that its runners form, if they do.
+    pub group: Option<GroupSize>,
+}
+
+/// The shape of the lock-step groups of a service.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GroupSize {
+    /// Runners of one group.
+    pub runners: usize,
+    /// Ranks of each runner.
+    pub ranks_per_runner: usize,
+    /// Experts in each layer.
+    pub experts: usize,
+    /// Layers with experts.
+    pub layers: usize,
+    /// Expert slots of one rank in one layer.
+    pub slots: usize,
+    /// Bytes of one expert.
+    pub expert_bytes: u64,
+    /// Value of removing one step time's worth of skew for one hour.
+    pub skew_weight: f64,
+    /// Cost of moving one gigabyte.
+    pub move_cost: f64,
+    /// Time between two plans.
+    pub plan_every_ms: u64,
+    /// Time of a balanced step.
+    pub step_ms: u64,
 }
 
 impl ServiceSize {
+    /// Returns the name of a runner, counted from zero.
+    pub fn runner_name(&self, index: usize) -> String {
+        format!("{}-{}", self.name, index + 1)
+    }
+
+    /// Returns the names of the runners of each lock-step group.
+    pub fn group_runners(&self) -> Vec<Vec<String>> {
+        let Some(group) = &self.group else {
+            return Vec::new();
+        };
+        let names: Vec<String> = (0..self.runners).map(|i| self.runner_name(i)).collect();
+        names
+            .chunks_exact(group.runners.max(1))
+            .map(<[String]>::to_vec)
+            .collect()
+    }
+
     /// Returns whether model engines stand behind the service.
     pub fn is_model(&self) -> bool {
         self.kind == "model"
@@ -99,6 +144,32 @@
                 service.name, service.kind, service.max_in_flight
             );
         }
+        for service in &self.services {
+            let Some(group) = &service.group else {
+                continue;
+            };
+            for (index, names) in service.group_runners().iter().enumerate() {
+                let names: Vec<String> = names.iter().map(|n| format!("\"{n}\"")).collect();
+                let _ = writeln!(
+                    text,
+                    "\n[group.{}-{}]\nservice = \"{}\"\nrunners = [{}]\nranks_per_runner = {}\n\
+                     experts = {}\nlayers = {}\nslots = {}\nexpert_bytes = {}\n\
+                     skew_weight = {:?}\nmove_cost = {:?}\nplan_every_ms = {}",
+                    service.name,
+                    index + 1,
+                    service.name,
+                    names.join(", "),
+                    group.ranks_per_runner,
+                    group.experts,
+                    group.layers,
+                    group.slots,
+                    group.expert_bytes,
+                    group.skew_weight,
+                    group.move_cost,
+                    group.plan_every_ms
+                );
+            }
+        }
         for workspace in &self.workspaces {
             let hash = KeyHash::new(&DevFleet::key(&workspace.name)).to_hex();
             let _ = writeln!(
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use crate::command::OperatorAccess;
+use crate::command::print_line;
 use crate::error::Result;
 use crate::node::Node;
 
@@ -27,6 +28,27 @@
     pub in_flight: Option<u32>,
     /// Whether its endpoint answers; only agents have one.
     pub endpoint_up: Option<bool>,
+    /// The state of its group's map; only runners of a group have one.
+    pub group: Option<GroupStatus>,
+}
+
+/// The state of a group's map at one runner.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct GroupStatus {
+    /// The group.
+    pub group: String,
+    /// The map that the engine runs; `None` while it has no state.
+    pub map: Option<u64>,
+    /// Step that the engine has reached.
+    pub step: u64,
+    /// Whether the runner takes part in ballots.
+    pub ready: bool,
+    /// Step time over the least possible, as the leader sees it.
+    pub skew: Option<f64>,
+    /// Bytes that the leader's plans have moved.
+    pub bytes_moved: u64,
+    /// Ranks that run slower than the others, as the leader sees it.
+    pub slow_ranks: Vec<usize>,
 }
 
 impl ProcessStatus {
@@ -43,9 +65,16 @@
             leaving: node.is_leaving(),
             in_flight: load.map(|load| load.in_flight),
             endpoint_up: load.map(|load| load.endpoint_up),
+            group: None,
         }
     }
 
+    /// Adds the state of the group's map.
+    pub fn with_group(mut self, group: Option<GroupStatus>) -> Self {
+        self.group = group;
+        self
+    }
+
     /// Returns the state as JSON.
     pub fn to_json(&self) -> Bytes {
         // Plain numbers and strings always serialize.
@@ -98,26 +127,52 @@
 pub async fn run(access: &OperatorAccess, json: bool) -> Result<()> {
     let status: FleetStatus = access.get("/status").await?;
     if json {
-        println!("{}", serde_json::to_string(&status).unwrap_or_default());
+        print_line(format_args!(
+            "{}",
+            serde_json::to_string(&status).unwrap_or_default()
+        ));
         return Ok(());
     }
-    println!(
+    print_line(format_args!(
         "{:<16} {:<12} {:<9} {:>7} {:>9} {:>9}",
         "PROCESS", "PLACE", "STATE", "TICKET", "CONFIRMED", "IN-FLIGHT"
-    );
+    ));
     print_process(&status.answering, "up");
     for neighbour in &status.neighbours {
         match &neighbour.process {
             Some(process) => print_process(process, &neighbour.state),
-            None => println!(
+            None => print_line(format_args!(
                 "{:<16} {:<12} {:<9} {:>7} {:>9} {:>9}",
                 neighbour.name, "-", neighbour.state, neighbour.ticket, "no answer", "-"
-            ),
+            )),
         }
     }
+    print_groups(&status);
     Ok(())
 }
 
+/// Prints each group as its leader sees it.
+fn print_groups(status: &FleetStatus) {
+    let processes = status.neighbours.iter().filter_map(|n| n.process.as_ref());
+    for process in processes {
+        let Some(group) = &process.group else {
+            continue;
+        };
+        let Some(skew) = group.skew else {
+            continue;
+        };
+        print_line(format_args!(
+            "group {} led by {}: map {}, step {}, skew {skew:.3}, {} MB moved, slow ranks {:?}",
+            group.group,
+            process.process,
+            group.map.unwrap_or(0),
+            group.step,
+            group.bytes_moved / 1_000_000,
+            group.slow_ranks
+        ));
+    }
+}
+
 fn print_process(process: &ProcessStatus, state: &str) {
     let confirmed = process
         .confirmed_ms_ago
@@ -125,8 +180,8 @@
     let in_flight = process
         .in_flight
         .map_or("-".into(), |count| count.to_string());
-    println!(
+    print_line(format_args!(
         "{:<16} {:<12} {:<9} {:>7} {:>9} {:>9}",
         process.process, process.place, state, process.ticket, confirmed, in_flight
-    );
+    ));
 }
--- a/src/command/ticket.rs
+++ b/src/command/ticket.rs
@@ -19,6 +19,7 @@
 use wisteriawick_core::time::SystemClock;
 
 use crate::command::OperatorAccess;
+use crate::command::print_line;
 use crate::command::status::FleetStatus;
 use crate::entry::HEAD_OBJECT;
 use crate::error::Error;
@@ -90,7 +91,7 @@
             head = next;
         }
     }
-    println!("{} tickets are in order", tickets.len());
+    print_line(format_args!("{} tickets are in order", tickets.len()));
     Ok(())
 }
 
@@ -110,9 +111,12 @@
     let open = tickets.into_iter().filter(|t| t.number > head.number);
     let accepted = accept(platform, open, by).await?;
     for number in &accepted {
-        println!("ticket {number} accepted");
+        print_line(format_args!("ticket {number} accepted"));
     }
-    println!("{total} tickets, {} accepted now", accepted.len());
+    print_line(format_args!(
+        "{total} tickets, {} accepted now",
+        accepted.len()
+    ));
     Ok(())
 }
 
@@ -196,22 +200,27 @@
     let tickets = read_dir(dir)?;
     let (_, head) = read_head(platform).await?;
     if let Err(e) = head.check_history(&tickets) {
-        println!("{e}");
+        print_line(format_args!("{e}"));
         return Ok(false);
     }
     let last = tickets.last().map_or(TicketNumber(0), |t| t.number);
     if head.number > last {
-        println!(
+        print_line(format_args!(
             "accepted up to {}, the directory ends at {last}; bring it up to date",
             head.number
-        );
+        ));
         return Ok(false);
     }
     for ticket in tickets.iter().filter(|t| t.number > head.number) {
-        println!("ticket {} is not accepted: {}", ticket.number, ticket.title);
+        print_line(format_args!(
+            "ticket {} is not accepted: {}",
+            ticket.number, ticket.title
+        ));
     }
     if head.number == last {
-        println!("the directory is what is accepted, up to ticket {last}");
+        print_line(format_args!(
+            "the directory is what is accepted, up to ticket {last}"
+        ));
     }
     Ok(head.number == last)
 }
@@ -224,11 +233,11 @@
 pub async fn show(access: &OperatorAccess, json: bool) -> Result<()> {
     let body = access.get_bytes("/config").await?;
     if body.is_empty() {
-        println!("no ticket is in force");
+        print_line(format_args!("no ticket is in force"));
         return Ok(());
     }
     if json {
-        println!("{}", String::from_utf8_lossy(&body));
+        print_line(format_args!("{}", String::from_utf8_lossy(&body)));
         return Ok(());
     }
     let head = serde_json::from_slice::<HeadWire>(&body)
@@ -240,36 +249,39 @@
 }
 
 fn print_head(head: &Head) {
-    println!("ticket {} is in force", head.number);
+    print_line(format_args!("ticket {} is in force", head.number));
     for recent in head.recent.iter().rev().take(5) {
-        println!("  {} by {}: {}", recent.number, recent.by, recent.title);
+        print_line(format_args!(
+            "  {} by {}: {}",
+            recent.number, recent.by, recent.title
+        ));
     }
     for (id, place) in &head.fleet.places {
-        println!("place {id} in {}", place.region);
+        print_line(format_args!("place {id} in {}", place.region));
     }
     for (id, service) in &head.fleet.services {
-        println!(
+        print_line(format_args!(
             "service {id}: {:?}, {} in flight a runner, {} queued an entry",
             service.kind, service.max_in_flight, service.max_queue
-        );
+        ));
     }
     for (id, workspace) in &head.fleet.workspaces {
-        println!(
+        print_line(format_args!(
             "workspace {id}: weight {}, priority {}, {} keys",
             workspace.weight,
             workspace.priority,
             workspace.keys.len()
-        );
+        ));
     }
     for (id, group) in &head.fleet.groups {
-        println!(
+        print_line(format_args!(
             "group {id}: {} ranks, {} experts, {} layers, skew weight {}, move cost {}",
             group.ranks(),
             group.experts,
             group.layers,
             group.skew_weight,
             group.move_cost
-        );
+        ));
     }
 }
 
@@ -290,17 +302,17 @@
             "in_force": total - behind.len(),
             "behind": names,
         });
-        println!("{line}");
+        print_line(format_args!("{line}"));
         return Ok(behind.is_empty());
     }
-    println!(
+    print_line(format_args!(
         "ticket {number} is in force in {} of {total} processes",
         total - behind.len()
-    );
+    ));
     for (name, held) in &behind {
         match held {
-            Some(held) => println!("  {name} has ticket {held}"),
-            None => println!("  {name} does not answer"),
+            Some(held) => print_line(format_args!("  {name} has ticket {held}")),
+            None => print_line(format_args!("  {name} does not answer")),
         }
     }
     Ok(behind.is_empty())
--- a/src/command/timeline.rs
+++ b/src/command/timeline.rs
@@ -11,6 +11,7 @@
 pub use html::render;
 
 use crate::command::OperatorAccess;
+use crate::command::print_line;
 use crate::error::Error;
 use crate::error::Result;
 use crate::timeline::EventWire;
@@ -99,11 +100,14 @@
 
 fn print_event(event: &EventWire, json: bool) {
     if json {
-        println!("{}", serde_json::to_string(event).unwrap_or_default());
+        print_line(format_args!(
+            "{}",
+            serde_json::to_string(event).unwrap_or_default()
+        ));
     } else {
-        println!(
+        print_line(format_args!(
             "{}.{:<3} {:<16} {:<16} {}",
             event.at.millis, event.at.counter, event.process, event.kind, event.detail
-        );
+        ));
     }
 }
--- a/src/link/listen.rs
+++ b/src/link/listen.rs
@@ -36,6 +36,8 @@
     pub peer: ProcessId,
     /// Its life.
     pub incarnation: Incarnation,
+    /// Whether it is an entry.
+    pub entry: bool,
     clock: std::sync::Mutex<LinkClock>,
 }
 
@@ -151,6 +153,7 @@
     let accepted = Accepted {
         peer,
         incarnation: Incarnation(hello.incarnation),
+        entry: hello.entry,
         clock: std::sync::Mutex::new(LinkClock::new(shaken)),
     };
     Some((accepted, tx, rx))
@@ -171,8 +174,10 @@
                     return;
                 };
                 node.timeline.observe(beat.stamp.into());
-                // Only entries dial, and what an entry has in force counts.
-                node.config.compare(node.clock.now(), &beat);
+                if accepted.entry {
+                    // What agents have in force proves nothing: they have it from entries.
+                    node.config.compare(node.clock.now(), &beat);
+                }
                 beat.number
             }
             Ok(()) = urgent.changed() => 0,
--- a/src/link/wire.rs
+++ b/src/link/wire.rs
@@ -16,6 +16,8 @@
 use wisteriawick_core::router::Death;
 use wisteriawick_core::router::RunnerReport;
 
+use crate::agent::maps::GroupLoadWire;
+use crate::agent::maps::MapWire;
 use crate::timeline::EventWire;
 use crate::timeline::StampWire;
 
@@ -26,6 +28,8 @@
     pub process: String,
     /// Its life.
     pub incarnation: u64,
+    /// Whether it is an entry.
+    pub entry: bool,
 }
 
 /// A heartbeat.
@@ -239,6 +243,10 @@
     Events(StampWire),
     /// Send the process's state, as JSON.
     Status,
+    /// A message between runners of a group.
+    Map(MapWire),
+    /// Send what the group's engine here reports of its load.
+    GroupLoad,
 }
 
 /// Why an attempt did not and will not run.
@@ -375,6 +383,8 @@
     Timeline(Vec<EventWire>),
     /// The process's state, as JSON.
     Status(Bytes),
+    /// What the group's engine reports of its load.
+    GroupLoad(GroupLoadWire),
     /// Done; there is nothing to say.
     Ok,
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -93,6 +93,7 @@
         Hello {
             process: self.name.to_string(),
             incarnation: self.incarnation.0,
+            entry: self.load.is_none(),
         }
     }
 
--- a/src/node/load.rs
+++ b/src/node/load.rs
@@ -22,6 +22,8 @@
     in_flight: u32,
     max_in_flight: u32,
     endpoint_up: bool,
+    /// Whether the lock-step group of the endpoint stands still.
+    stalled: bool,
     from: BTreeMap<ProcessId, u32>,
     deaths: VecDeque<(Instant, DeathWire)>,
 }
@@ -39,6 +41,14 @@
         state.endpoint_up = endpoint_up;
     }
 
+    /// Says whether the endpoint's group stands still; returns whether that is new.
+    pub fn set_stalled(&self, stalled: bool) -> bool {
+        let mut state = self.lock();
+        let new = state.stalled != stalled;
+        state.stalled = stalled;
+        new
+    }
+
     /// Counts a request of one entry in.
     pub fn started(&self, from: &ProcessId) {
         *self.lock().from.entry(from.clone()).or_default() += 1;
@@ -71,7 +81,7 @@
             in_flight: state.in_flight,
             from_reader: state.from.get(reader).copied().unwrap_or(0),
             max_in_flight: state.max_in_flight,
-            endpoint_up: state.endpoint_up,
+            endpoint_up: state.endpoint_up && !state.stalled,
         }
     }
 
