--- a/crates/bench/src/maps.rs
+++ b/crates/bench/src/maps.rs
@@ -1,10 +1,13 @@
 //! Expert maps over seeded drift: skew, bytes moved, moves that did not pay.
 
+use std::collections::BTreeSet;
+use std::time::Duration;
 use std::time::Instant;
 
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use wisteriawick::command::dev::GroupSize;
 use wisteriawick_core::maps::Forecast;
 use wisteriawick_core::maps::Loads;
 use wisteriawick_core::maps::Placement;
@@ -13,6 +16,9 @@
 use wisteriawick_core::maps::Shape;
 use wisteriawick_core::maps::full_replan;
 
+use crate::client::Fleet;
+use crate::client::block_on;
+use crate::client::sizes;
 use crate::report::Report;
 use crate::report::Target;
 use crate::report::quantile;
@@ -31,6 +37,8 @@
 /// Days whose figures are left out, while the forecast learns.
 const LEARNING_DAYS: usize = 1;
 const NOISE: f64 = 0.08;
+const SWITCH_ROUNDS: usize = 6;
+const SWITCH_ROUND: Duration = Duration::from_secs(3);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Drift {
@@ -202,6 +210,59 @@
         }
     }
     plan_time(seed, report);
+    block_on(over_sockets(report));
+}
+
+/// Steps held by a switch, with agents, engines and the store over sockets.
+async fn over_sockets(report: &mut Report) {
+    let mut sizes = sizes(1, 4, 1, 32);
+    sizes.services[0].group = Some(GroupSize {
+        runners: 4,
+        ranks_per_runner: 8,
+        experts: 64,
+        layers: 4,
+        slots: 3,
+        expert_bytes: 1_000_000,
+        skew_weight: 600.0,
+        move_cost: 1.0,
+        plan_every_ms: 500,
+        step_ms: 25,
+    });
+    let fleet = Fleet::start(sizes).await;
+    let group = fleet.fleet.groups[0].lockstep.clone();
+    for round in 0..SWITCH_ROUNDS {
+        let share = |expert| if expert == round * 5 % 64 { 8.0 } else { 1.0 };
+        group.set_popularity(vec![(0..64).map(share).collect(); 4]);
+        tokio::time::sleep(SWITCH_ROUND).await;
+    }
+    let steps = group.steps();
+    let maps: BTreeSet<u64> = steps
+        .iter()
+        .filter_map(|step| step.maps.first().copied())
+        .collect();
+    let mixed = steps
+        .iter()
+        .filter(|step| step.maps.iter().any(|map| *map != step.maps[0]));
+    let switches = maps.len().saturating_sub(1) as f64;
+    report.add(
+        "over sockets: switches",
+        switches,
+        "switches",
+        Target::AtLeast(1.0),
+    );
+    report.add(
+        "over sockets: steps with two maps",
+        mixed.count() as f64,
+        "steps",
+        Target::AtMost(0.0),
+    );
+    let held = group.held() as f64 / switches.max(1.0);
+    report.add(
+        "over sockets: steps held a switch",
+        held,
+        "steps",
+        Target::AtMost(2.0),
+    );
 }
 
 fn add_user(
--- a/src/agent/maps/task.rs
+++ b/src/agent/maps/task.rs
@@ -47,7 +47,7 @@
     /// The store answered the leader.
     Leader(LeaderInput),
     /// A round of planning is over; a plan in it is written and can be proposed.
-    Planned(Forecast, Option<Proposal>),
+    Planned(Box<Forecast>, Box<Option<Proposal>>),
 }
 
 /// A handle to the task.
--- a/src/agent/maps/task/group.rs
+++ b/src/agent/maps/task/group.rs
@@ -221,7 +221,7 @@
                 self.switch(SwitchInput::Engine(report));
             }
             Input::Leader(input) => self.lead(input),
-            Input::Planned(forecast, proposal) => self.planned(forecast, proposal),
+            Input::Planned(forecast, proposal) => self.planned(*forecast, *proposal),
         }
     }
 
--- a/src/agent/maps/task/group/plan.rs
+++ b/src/agent/maps/task/group/plan.rs
@@ -114,7 +114,9 @@
         let (engine, tx) = (self.engine.clone(), self.tx.clone());
         tokio::spawn(async move {
             let proposal = round.run(engine, &mut forecast).await;
-            let _ = tx.send(Input::Planned(forecast, proposal)).await;
+            let _ = tx
+                .send(Input::Planned(forecast.into(), proposal.into()))
+                .await;
         });
     }
 
