Split the large files; one piece of code for what the fault worlds share

Change: Steps, StoreHealth and Silence serve all worlds; the path world is split into events, faults and ledgers; tests of the large cores and the router's pace have files of their own.

--- /dev/null
+++ b/crates/core/src/call/core/tests.rs
@@ -0,0 +1,137 @@
+//! Tests of the call core.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+
+use super::Call;
+use crate::call::CallKind;
+use crate::call::CallPlan;
+use crate::call::Failure;
+use crate::call::Input;
+use crate::call::Outcome;
+use crate::call::Output;
+use crate::gate::Refusal;
+use crate::ids::AttemptId;
+use crate::ids::Term;
+use crate::ledger::Answer;
+use crate::ledger::LedgerReply;
+use crate::router::Rejection;
+use crate::router::RetryRule;
+
+const ATTEMPT: AttemptId = AttemptId(1);
+
+fn handle(call: &mut Call, input: Input) -> Vec<Output> {
+    let mut out = Vec::new();
+    call.handle(Instant::now(), input, &mut out);
+    out
+}
+
+fn running(kind: CallKind, keyed: bool, retry: RetryRule) -> Call {
+    let mut call = Call::new(CallPlan { kind, keyed, retry });
+    handle(&mut call, Input::Begin);
+    if keyed {
+        let granted = LedgerReply::Granted(Term(1));
+        assert_eq!(handle(&mut call, Input::Ledger(granted)), [Output::Arrive]);
+    }
+    dispatch(&mut call, ATTEMPT);
+    call
+}
+
+fn dispatch(call: &mut Call, attempt: AttemptId) -> Vec<Output> {
+    let input = Input::Dispatched {
+        attempt,
+        runner: "r".into(),
+        suspect: false,
+    };
+    handle(call, input)
+}
+
+#[test]
+fn a_keyed_call_is_sent_only_after_its_claim_is_durable() {
+    let mut call = Call::new(CallPlan {
+        kind: CallKind::Whole,
+        keyed: true,
+        retry: RetryRule::IfNotRun,
+    });
+    assert_eq!(
+        handle(&mut call, Input::Begin),
+        [Output::Claim(Duration::ZERO)]
+    );
+    let granted = Input::Ledger(LedgerReply::Granted(Term(1)));
+    assert_eq!(handle(&mut call, granted), [Output::Arrive]);
+}
+
+#[test]
+fn a_lost_link_of_a_keyed_call_is_recovered_not_retried() {
+    let mut call = running(CallKind::Whole, true, RetryRule::IfNotRun);
+    let lost = Input::LinkLost {
+        attempt: ATTEMPT,
+        sent: true,
+    };
+    assert_eq!(
+        handle(&mut call, lost),
+        [Output::Recover(ATTEMPT, "r".into())]
+    );
+}
+
+#[test]
+fn a_claim_is_released_only_with_evidence() {
+    let mut call = running(CallKind::Whole, true, RetryRule::IfNotRun);
+    handle(&mut call, Input::Refused(ATTEMPT, Refusal::Leaving));
+    let out = handle(&mut call, Input::Rejected(Rejection::NotRun));
+    assert!(out.contains(&Output::Release));
+    assert!(out.contains(&Output::Fail(Failure::Refused, Outcome::NotRun)));
+
+    let mut call = running(CallKind::Whole, true, RetryRule::IfNotRun);
+    handle(&mut call, Input::EndpointFailed(ATTEMPT));
+    let out = handle(&mut call, Input::Rejected(Rejection::Unknown));
+    assert!(!out.contains(&Output::Release));
+    assert!(out.contains(&Output::Fail(Failure::CutOff, Outcome::Unknown)));
+}
+
+#[test]
+fn a_stream_resumes_where_the_caller_is() {
+    let mut call = running(CallKind::Stream, false, RetryRule::Idempotent);
+    handle(&mut call, Input::Head(ATTEMPT));
+    handle(&mut call, Input::Event(ATTEMPT, 0));
+    handle(&mut call, Input::Event(ATTEMPT, 1));
+    handle(&mut call, Input::EndpointFailed(ATTEMPT));
+    let out = dispatch(&mut call, AttemptId(2));
+    assert!(matches!(out[..], [Output::Send { resume_from: 2, .. }]));
+    let stray = handle(&mut call, Input::Event(ATTEMPT, 2));
+    assert_eq!(stray, [Output::CountStray]);
+    let out = handle(&mut call, Input::Event(AttemptId(2), 2));
+    assert_eq!(out, [Output::Relay(2)]);
+}
+
+#[test]
+fn a_gap_in_a_stream_is_never_relayed() {
+    let mut call = running(CallKind::Stream, false, RetryRule::Idempotent);
+    handle(&mut call, Input::Head(ATTEMPT));
+    handle(&mut call, Input::Event(ATTEMPT, 0));
+    let out = handle(&mut call, Input::Event(ATTEMPT, 2));
+    assert!(!out.iter().any(|o| matches!(o, Output::Relay(_))));
+    let mut call = running(CallKind::Stream, false, RetryRule::Idempotent);
+    handle(&mut call, Input::Head(ATTEMPT));
+    let out = handle(&mut call, Input::EndOfStream(ATTEMPT, 1));
+    assert!(!out.contains(&Output::EndStream));
+}
+
+#[test]
+fn a_late_answer_of_a_keyed_call_is_still_recorded() {
+    let mut call = running(CallKind::Whole, true, RetryRule::IfNotRun);
+    let out = handle(&mut call, Input::Deadline);
+    assert_eq!(
+        out,
+        [Output::Fail(
+            Failure::DeadlineWhileRunning,
+            Outcome::Unknown
+        )]
+    );
+    let answer = Answer::new(200, "", Bytes::from_static(b"ok"));
+    let out = handle(&mut call, Input::Answered(ATTEMPT, answer.clone()));
+    assert!(out.contains(&Output::Settle(answer)));
+    assert!(!out.iter().any(|o| matches!(o, Output::Answer { .. })));
+}
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -10,6 +10,7 @@
 mod choice;
 mod core;
 mod fairness;
+mod pace;
 mod poison;
 mod request;
 
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -9,6 +9,7 @@
 mod fault;
 mod maps;
 mod matrix;
+mod outage;
 mod path;
 mod queue;
 mod tickets;
--- a/crates/faults/src/maps.rs
+++ b/crates/faults/src/maps.rs
@@ -35,7 +35,7 @@
     world.propose(PROBE_AT, 2, PROBE_MAP);
     world.run(END);
     let mut report = RunReport {
-        steps: world.steps.clone(),
+        steps: world.steps.taken.clone(),
         checked: vec![Promise::OneMap, Promise::GoesOn],
         ..RunReport::default()
     };
--- a/crates/faults/src/maps/world.rs
+++ b/crates/faults/src/maps/world.rs
@@ -21,33 +21,29 @@
 
 use crate::fault::Fault;
 use crate::fault::FaultKind;
-use crate::fault::LAST_FAULT;
 use crate::fault::LATE;
 use crate::fault::PAUSE;
 use crate::fault::REORDER;
 use crate::fault::REPLACE;
-use crate::fault::STORE_OUTAGE;
-use crate::fault::STORE_SLOWNESS;
 use crate::fault::Sabotage;
-use crate::fault::Step;
 use crate::fault::StepClass;
 use crate::maps::engine::Engine;
+use crate::outage::STORE_TIMEOUT;
+use crate::outage::Silence;
+use crate::outage::Steps;
+use crate::outage::StoreHealth;
 use crate::queue::Next;
 use crate::queue::Queue;
 
 const RUNNERS: usize = 3;
-/// Time of a message, of an engine's answer, and of the store's.
+/// Time of a message, of an engine's answer, and of staging.
 const HOP: Duration = Duration::from_millis(1);
 const ENGINE: Duration = Duration::from_millis(2);
 const STAGING: Duration = Duration::from_millis(30);
-const STORE: Duration = Duration::from_millis(5);
-const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time of a step of the group.
 const STEP: Duration = Duration::from_millis(20);
 /// Time that a dead engine takes to come back.
 const ENGINE_RESTART: Duration = Duration::from_millis(500);
-/// How long a silenced link stays silent before another is dialled.
-const LINK_SILENCE: Duration = Duration::from_secs(1);
 /// Pause between two tries to propose while a map is under way.
 const PROPOSE_AGAIN: Duration = Duration::from_secs(1);
 /// Steps of one run; more means that something does not come to rest.
@@ -99,12 +95,9 @@
     mixed: Vec<String>,
     object: Option<GroupImage>,
     version: u64,
-    down_until: Option<Instant>,
-    slow_until: Option<Instant>,
-    /// What goes from one runner to another vanishes until the time given.
-    silent: Vec<(usize, usize, Instant)>,
-    pub(crate) steps: Vec<Step>,
-    faults: Vec<Fault>,
+    store: StoreHealth,
+    silence: Silence,
+    pub(crate) steps: Steps,
     next_life: u64,
     checks_fencing: bool,
 }
@@ -121,11 +114,9 @@
             mixed: Vec::new(),
             object: None,
             version: 0,
-            down_until: None,
-            slow_until: None,
-            silent: Vec::new(),
-            steps: Vec::new(),
-            faults: faults.to_vec(),
+            store: StoreHealth::default(),
+            silence: Silence::default(),
+            steps: Steps::new(faults),
             next_life: 0,
             checks_fencing,
         };
@@ -182,7 +173,7 @@
     }
 
     pub(crate) fn run(&mut self, end: Duration) {
-        while self.queue.elapsed() < end && self.steps.len() < MAX_STEPS {
+        while self.queue.elapsed() < end && self.steps.taken.len() < MAX_STEPS {
             let timer = self.next_timer();
             match self.queue.pop(timer.map(|(at, _)| at)) {
                 Some(Next::Event(event)) => self.take(event),
@@ -237,18 +228,7 @@
         runner: Option<usize>,
         event: Option<&Event>,
     ) -> bool {
-        let index = self.steps.len();
-        let at = self.queue.elapsed();
-        self.steps.push(Step { class, at });
-        if at > LAST_FAULT {
-            return true;
-        }
-        let due: Vec<FaultKind> = self
-            .faults
-            .iter()
-            .filter(|fault| fault.at_step == index && fault.kind.fits(class))
-            .map(|fault| fault.kind)
-            .collect();
+        let due = self.steps.begin(class, self.queue.elapsed());
         let mut takes_place = true;
         for kind in due {
             takes_place &= self.apply(kind, runner, event);
@@ -271,11 +251,8 @@
             }
             (FaultKind::SilentOneWay | FaultKind::SilentBothWays, Some(event)) => {
                 if let Event::Message { from, to, .. } = event {
-                    let until = now + LINK_SILENCE;
-                    self.silent.push((*from, *to, until));
-                    if kind == FaultKind::SilentBothWays {
-                        self.silent.push((*to, *from, until));
-                    }
+                    let both = kind == FaultKind::SilentBothWays;
+                    self.silence.begin(now, *from, *to, both);
                 }
                 return false;
             }
@@ -295,8 +272,8 @@
                     return false;
                 }
             }
-            (FaultKind::StoreDown, _) => self.down_until = Some(now + STORE_OUTAGE),
-            (FaultKind::StoreSlow, _) => self.slow_until = Some(now + STORE_OUTAGE),
+            (FaultKind::StoreDown, _) => self.store.go_down(now),
+            (FaultKind::StoreSlow, _) => self.store.go_slow(now),
             (FaultKind::AnswerLost, Some(Event::StoreWrite(runner, life, version, image))) => {
                 self.write(*version, image);
                 let unknown = LeaderInput::Written(WriteResult::Unknown);
@@ -396,11 +373,7 @@
     }
 
     fn message(&mut self, from: usize, life: Incarnation, to: usize, message: Message) {
-        let now = self.queue.now();
-        let silent = self
-            .silent
-            .iter()
-            .any(|(a, b, until)| *a == from && *b == to && now < *until);
+        let silent = self.silence.covers(self.queue.now(), from, to);
         if silent || !self.runners[to].up {
             return;
         }
@@ -497,17 +470,8 @@
         }
     }
 
-    fn store_pause(&self) -> Option<Duration> {
-        let now = self.queue.now();
-        if self.down_until.is_some_and(|until| now < until) {
-            return None;
-        }
-        let slow = self.slow_until.is_some_and(|until| now < until);
-        Some(if slow { STORE_SLOWNESS } else { STORE })
-    }
-
     fn store_read(&mut self, runner: usize, life: Incarnation) {
-        let (pause, input) = match self.store_pause() {
+        let (pause, input) = match self.store.pause(self.queue.now()) {
             Some(pause) => {
                 let input = LeaderInput::Read(self.version, self.object.clone());
                 (pause, input)
@@ -525,7 +489,7 @@
         if_version: u64,
         image: &GroupImage,
     ) {
-        let (pause, result) = match self.store_pause() {
+        let (pause, result) = match self.store.pause(self.queue.now()) {
             Some(pause) => (pause, self.write(if_version, image)),
             None => (STORE_TIMEOUT, WriteResult::Unknown),
         };
--- a/crates/faults/src/path.rs
+++ b/crates/faults/src/path.rs
@@ -4,7 +4,10 @@
 mod agents;
 mod check;
 mod entries;
+mod events;
+mod ledgers;
 mod store;
+mod strike;
 mod world;
 
 use std::time::Duration;
--- a/crates/faults/src/path/agents.rs
+++ b/crates/faults/src/path/agents.rs
@@ -18,14 +18,14 @@
 
 use crate::fault::Sabotage;
 use crate::path::STREAM_EVENTS;
+use crate::path::events::Event;
+use crate::path::events::Return;
+use crate::path::events::ToAgent;
+use crate::path::events::ToEntry;
 use crate::path::world::ENDPOINT_RESTART;
 use crate::path::world::ENTRIES;
-use crate::path::world::Event;
 use crate::path::world::HOP;
-use crate::path::world::Return;
 use crate::path::world::Run;
-use crate::path::world::ToAgent;
-use crate::path::world::ToEntry;
 use crate::path::world::World;
 
 /// Requests that an endpoint may hold.
--- a/crates/faults/src/path/check.rs
+++ b/crates/faults/src/path/check.rs
@@ -37,7 +37,7 @@
     let mut checker = Checker {
         world,
         report: RunReport {
-            steps: world.steps.clone(),
+            steps: world.steps.taken.clone(),
             ..RunReport::default()
         },
     };
--- a/crates/faults/src/path/world.rs
+++ b/crates/faults/src/path/world.rs
@@ -4,34 +4,30 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use wisteriawick_core::gate::Refusal;
 use wisteriawick_core::ids::AttemptId;
 use wisteriawick_core::ids::Incarnation;
-use wisteriawick_core::ledger;
 use wisteriawick_core::ledger::Answer;
-use wisteriawick_core::ledger::LedgerReply;
 use wisteriawick_core::ledger::ObjectName;
 use wisteriawick_core::ledger::OpId;
 use wisteriawick_core::ledger::ReadResult;
-use wisteriawick_core::ledger::Stored;
 use wisteriawick_core::ledger::WriteResult;
 use wisteriawick_core::router::RequestId;
 
 use crate::fault::Fault;
-use crate::fault::FaultKind;
-use crate::fault::LAST_FAULT;
-use crate::fault::LATE;
-use crate::fault::PAUSE;
-use crate::fault::REORDER;
-use crate::fault::REPLACE;
 use crate::fault::Sabotage;
-use crate::fault::Step;
 use crate::fault::StepClass;
+use crate::outage::STORE_TIMEOUT;
+use crate::outage::Steps;
 use crate::path::END;
 use crate::path::agents::AgentNode;
 use crate::path::entries::EntryNode;
+use crate::path::events::Event;
+use crate::path::events::NodeId;
+use crate::path::events::Return;
+use crate::path::events::StoreAnswer;
+use crate::path::events::StoreCall;
+use crate::path::events::classify;
 use crate::path::store::Store;
-use crate::path::store::TIMEOUT;
 use crate::queue::Next;
 use crate::queue::Queue;
 
@@ -49,13 +45,6 @@
 /// Steps of one run; more means that something does not come to rest.
 const MAX_STEPS: usize = 20_000;
 
-/// A process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum NodeId {
-    Entry(usize),
-    Agent(usize),
-}
-
 /// What a caller asks for.
 #[derive(Clone, Debug)]
 pub(crate) struct Ask {
@@ -117,173 +106,13 @@
     pub(crate) to: Return,
 }
 
-/// The way back to a call.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Return {
-    pub(crate) entry: usize,
-    pub(crate) life: Incarnation,
-    pub(crate) link: u64,
-}
-
-/// A message to an agent.
-#[derive(Clone, Debug)]
-pub(crate) enum ToAgent {
-    Offer {
-        attempt: AttemptId,
-        meant_for: Incarnation,
-        remaining: Duration,
-        suspect: bool,
-        resume_from: u64,
-    },
-    Ask {
-        attempt: AttemptId,
-        meant_for: Incarnation,
-        remaining: Duration,
-        recover: bool,
-    },
-}
-
-/// A message to an entry about an attempt.
-#[derive(Clone, Debug)]
-pub(crate) enum ToEntry {
-    Refused(Refusal),
-    Head,
-    Event(u64),
-    EndOfStream(u64),
-    Answered(Answer),
-    Failed,
-    Died,
-}
-
-/// A call to the store.
-#[derive(Clone, Debug)]
-pub(crate) enum StoreCall {
-    Read,
-    Write(u64, Box<Stored>),
-}
-
-/// The store's answer.
-#[derive(Clone, Debug)]
-pub(crate) enum StoreAnswer {
-    Read(ReadResult),
-    Write(WriteResult),
-}
-
-/// Something that happens.
-#[derive(Clone, Debug)]
-pub(crate) enum Event {
-    Send(usize),
-    Leave(usize),
-    ShutDown(usize),
-    KillOwner,
-    ToAgent {
-        to: usize,
-        back: Return,
-        request: RequestId,
-        sent: Instant,
-        message: ToAgent,
-    },
-    ToEntry {
-        from: usize,
-        back: Return,
-        request: RequestId,
-        attempt: AttemptId,
-        message: ToEntry,
-    },
-    /// An agent tells its state.
-    Beat {
-        from: usize,
-        entry: usize,
-        life: Incarnation,
-        link: u64,
-        leaving: bool,
-        endpoint_up: bool,
-    },
-    /// One entry asks another's ledger.
-    LedgerAsk {
-        from: usize,
-        life: Incarnation,
-        to: usize,
-        ticket: u64,
-        input: LedgerInput,
-    },
-    LedgerAnswer {
-        to: usize,
-        life: Incarnation,
-        ticket: u64,
-        reply: LedgerReply,
-    },
-    /// Looks whether the owner that was asked still lives.
-    LedgerGuard {
-        entry: usize,
-        life: Incarnation,
-        ticket: u64,
-        owner: usize,
-    },
-    /// Asks the ledger after a pause.
-    LedgerAgain {
-        entry: usize,
-        life: Incarnation,
-        ticket: u64,
-    },
-    Store {
-        entry: usize,
-        life: Incarnation,
-        op: OpId,
-        name: ObjectName,
-        call: StoreCall,
-    },
-    StoreAnswer {
-        entry: usize,
-        life: Incarnation,
-        op: OpId,
-        answer: StoreAnswer,
-    },
-    /// An endpoint brings the next part of a run.
-    Endpoint(usize),
-    EndpointUp(usize),
-    /// An entry gives a link up.
-    LinkLost {
-        entry: usize,
-        agent: usize,
-        link: u64,
-    },
-    LinkUp {
-        entry: usize,
-        agent: usize,
-        link: u64,
-    },
-    /// A lost attempt is asked for again.
-    Recover {
-        entry: usize,
-        life: Incarnation,
-        request: RequestId,
-        attempt: AttemptId,
-        agent: usize,
-    },
-    Deadline {
-        entry: usize,
-        life: Incarnation,
-        request: RequestId,
-    },
-    Replace(NodeId),
-}
-
-/// A wish to the ledger, without the caller's identifier.
-#[derive(Clone, Debug)]
-pub(crate) enum LedgerInput {
-    Claim(ledger::Claim),
-    Settle(ledger::KeyDigest, ledger::ClaimId, Answer),
-    Release(ledger::KeyDigest, ledger::ClaimId),
-}
-
 /// A link between an entry and an agent.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Link {
     pub(crate) number: u64,
     pub(crate) up: bool,
-    silent_out: bool,
-    silent_in: bool,
+    pub(crate) silent_out: bool,
+    pub(crate) silent_in: bool,
 }
 
 /// Everything.
@@ -298,8 +127,7 @@
     pub(crate) links: [[Link; AGENTS]; ENTRIES],
     pub(crate) left_at: BTreeMap<usize, Instant>,
     pub(crate) shut_down_at: BTreeMap<usize, Instant>,
-    pub(crate) steps: Vec<Step>,
-    faults: Vec<Fault>,
+    pub(crate) steps: Steps,
     next_life: u64,
 }
 
@@ -323,8 +151,7 @@
             }; AGENTS]; ENTRIES],
             left_at: BTreeMap::new(),
             shut_down_at: BTreeMap::new(),
-            steps: Vec::new(),
-            faults: faults.to_vec(),
+            steps: Steps::new(faults),
             next_life: 0,
         };
         for index in 0..ENTRIES {
@@ -387,7 +214,7 @@
 
     /// Runs until nothing is left to do.
     pub(crate) fn run(&mut self) {
-        while self.queue.elapsed() < END && self.steps.len() < MAX_STEPS {
+        while self.queue.elapsed() < END && self.steps.taken.len() < MAX_STEPS {
             let timer = self.next_timer();
             match self.queue.pop(timer.map(|(at, _)| at)) {
                 Some(Next::Event(event)) => self.step(event),
@@ -463,18 +290,7 @@
         node: Option<NodeId>,
         event: Option<&Event>,
     ) -> bool {
-        let index = self.steps.len();
-        let at = self.queue.elapsed();
-        self.steps.push(Step { class, at });
-        if at > LAST_FAULT {
-            return true;
-        }
-        let due: Vec<FaultKind> = self
-            .faults
-            .iter()
-            .filter(|fault| fault.at_step == index && fault.kind.fits(class))
-            .map(|fault| fault.kind)
-            .collect();
+        let due = self.steps.begin(class, self.queue.elapsed());
         let mut takes_place = true;
         for kind in due {
             takes_place &= self.apply(kind, node, event);
@@ -482,108 +298,6 @@
         takes_place
     }
 
-    fn apply(&mut self, kind: FaultKind, node: Option<NodeId>, event: Option<&Event>) -> bool {
-        let now = self.queue.now();
-        match (kind, event) {
-            (FaultKind::Lost, Some(event)) => {
-                self.lose(event);
-                return false;
-            }
-            (FaultKind::Doubled, Some(event)) => {
-                self.queue.after(HOP, event.clone());
-            }
-            (FaultKind::Late, Some(event)) => {
-                self.lose(event);
-                self.queue.after(LATE, event.clone());
-                return false;
-            }
-            (FaultKind::Reordered, Some(event)) => {
-                self.queue.after(REORDER, event.clone());
-                return false;
-            }
-            (FaultKind::SilentOneWay, Some(event)) => {
-                self.silence(event, false);
-                self.lose(event);
-                return false;
-            }
-            (FaultKind::SilentBothWays, Some(event)) => {
-                self.silence(event, true);
-                self.lose(event);
-                return false;
-            }
-            (FaultKind::Killed, _) => {
-                if let Some(node) = node {
-                    self.kill(node);
-                    return matches!(event, Some(Event::Store { .. }));
-                }
-            }
-            (FaultKind::Paused, _) => {
-                if let Some(node) = node {
-                    self.pause(node);
-                    if let Some(event) = event {
-                        self.queue.after(PAUSE, event.clone());
-                    }
-                    return false;
-                }
-            }
-            (FaultKind::StoreDown, _) => self.store.go_down(now),
-            (FaultKind::StoreSlow, _) => self.store.go_slow(now),
-            (FaultKind::AnswerLost, Some(event)) => {
-                self.lose_store_answer(event);
-                return false;
-            }
-            (FaultKind::EndpointCrash, _) => self.crash_endpoint(),
-            _ => {}
-        }
-        true
-    }
-
-    /// A message on a link is lost only with the link.
-    fn lose(&mut self, event: &Event) {
-        match event {
-            Event::ToAgent { to, back, .. } => self.break_link(back.entry, *to, back.link),
-            Event::ToEntry { from, back, .. } => self.break_link(back.entry, *from, back.link),
-            Event::Beat {
-                from, entry, link, ..
-            } => self.break_link(*entry, *from, *link),
-            Event::LedgerAsk {
-                from, life, ticket, ..
-            } => {
-                let lost = Event::LedgerAnswer {
-                    to: *from,
-                    life: *life,
-                    ticket: *ticket,
-                    reply: LedgerReply::NotOwner,
-                };
-                self.queue.after(NOTICE, lost);
-            }
-            Event::LedgerAnswer {
-                to, life, ticket, ..
-            } => {
-                let lost = Event::LedgerAnswer {
-                    to: *to,
-                    life: *life,
-                    ticket: *ticket,
-                    reply: LedgerReply::NotOwner,
-                };
-                self.queue.after(NOTICE, lost);
-            }
-            _ => {}
-        }
-    }
-
-    fn silence(&mut self, event: &Event, both: bool) {
-        let (entry, agent, outward) = match event {
-            Event::ToAgent { to, back, .. } => (back.entry, *to, true),
-            Event::ToEntry { from, back, .. } => (back.entry, *from, false),
-            Event::Beat { from, entry, .. } => (*entry, *from, false),
-            _ => return,
-        };
-        let link = &mut self.links[entry][agent];
-        link.silent_out |= outward || both;
-        link.silent_in |= !outward || both;
-    }
-
     /// Schedules the moment at which the entry notices that a link is dead.
     pub(crate) fn break_link(&mut self, entry: usize, agent: usize, link: u64) {
         let lost = Event::LinkLost { entry, agent, link };
@@ -600,38 +314,6 @@
         !(if out { held.silent_out } else { held.silent_in })
     }
 
-    fn kill(&mut self, node: NodeId) {
-        match node {
-            NodeId::Entry(index) => self.kill_entry(index),
-            NodeId::Agent(index) => self.kill_agent(index),
-        }
-        self.queue.after(REPLACE, Event::Replace(node));
-    }
-
-    fn pause(&mut self, node: NodeId) {
-        let now = self.queue.now();
-        let until = Some(now + PAUSE);
-        match node {
-            NodeId::Entry(index) => {
-                self.entries[index].paused_until = until;
-                self.entries[index].silent_since = Some(now);
-                for agent in 0..AGENTS {
-                    let link = self.links[index][agent].number;
-                    let lost = Event::LinkLost {
-                        entry: index,
-                        agent,
-                        link,
-                    };
-                    self.queue.after(PAUSE, lost);
-                }
-            }
-            NodeId::Agent(index) => {
-                self.agents[index].paused_until = until;
-                self.break_links_of(index);
-            }
-        }
-    }
-
     pub(crate) fn break_links_of(&mut self, agent: usize) {
         for entry in 0..ENTRIES {
             let link = self.links[entry][agent].number;
@@ -639,26 +321,6 @@
         }
     }
 
-    fn lose_store_answer(&mut self, event: &Event) {
-        if let Event::Store {
-            entry,
-            life,
-            op,
-            name,
-            call: StoreCall::Write(if_version, content),
-        } = event
-        {
-            self.store.write(*name, *if_version, (**content).clone());
-            let answer = Event::StoreAnswer {
-                entry: *entry,
-                life: *life,
-                op: *op,
-                answer: StoreAnswer::Write(WriteResult::Unknown),
-            };
-            self.queue.after(TIMEOUT, answer);
-        }
-    }
-
     fn deliver(&mut self, event: Event) {
         match event {
             Event::Send(index) => self.caller_sends(index),
@@ -766,8 +428,8 @@
         name: ObjectName,
         call: StoreCall,
     ) {
-        let now = self.queue.now();
-        let down = self.store.is_down(now);
+        let pause = self.store.health.pause(self.queue.now());
+        let down = pause.is_none();
         let answer = match call {
             StoreCall::Read if down => StoreAnswer::Read(ReadResult::Unavailable),
             StoreCall::Read => StoreAnswer::Read(self.store.read(name)),
@@ -776,14 +438,13 @@
                 StoreAnswer::Write(self.store.write(name, if_version, *content))
             }
         };
-        let pause = if down { TIMEOUT } else { self.store.delay(now) };
         let answer = Event::StoreAnswer {
             entry,
             life,
             op,
             answer,
         };
-        self.queue.after(pause, answer);
+        self.queue.after(pause.unwrap_or(STORE_TIMEOUT), answer);
     }
 
     pub(crate) fn redial(&mut self, entry: usize, agent: usize) {
@@ -823,31 +484,3 @@
         self.send_beat(agent, entry);
     }
 }
-
-fn classify(event: &Event) -> (StepClass, Option<NodeId>) {
-    match event {
-        Event::Send(_) | Event::Leave(_) | Event::ShutDown(_) | Event::KillOwner => {
-            (StepClass::Outside, None)
-        }
-        Event::ToAgent { to, .. } => (StepClass::Message, Some(NodeId::Agent(*to))),
-        Event::ToEntry { back, .. } => (StepClass::Message, Some(NodeId::Entry(back.entry))),
-        Event::Beat { entry, .. } => (StepClass::Message, Some(NodeId::Entry(*entry))),
-        Event::LedgerAsk { to, .. } | Event::LedgerAnswer { to, .. } => {
-            (StepClass::Message, Some(NodeId::Entry(*to)))
-        }
-        Event::LedgerGuard { entry, .. } | Event::LedgerAgain { entry, .. } => {
-            (StepClass::Local, Some(NodeId::Entry(*entry)))
-        }
-        // A call to the store is on its way whatever becomes of its sender.
-        Event::Store { call, .. } => match call {
-            StoreCall::Read => (StepClass::Store, None),
-            StoreCall::Write(..) => (StepClass::StoreWrite, None),
-        },
-        Event::StoreAnswer { entry, .. } => (StepClass::Store, Some(NodeId::Entry(*entry))),
-        Event::Endpoint(_) | Event::EndpointUp(_) | Event::Replace(_) => (StepClass::Outside, None),
-        Event::LinkLost { entry, .. }
-        | Event::LinkUp { entry, .. }
-        | Event::Recover { entry, .. }
-        | Event::Deadline { entry, .. } => (StepClass::Local, Some(NodeId::Entry(*entry))),
-    }
-}
--- a/crates/faults/src/tickets.rs
+++ b/crates/faults/src/tickets.rs
@@ -27,7 +27,7 @@
     world.apply_next(PROBE_AT);
     world.run(END);
     let mut report = RunReport {
-        steps: world.steps.clone(),
+        steps: world.steps.taken.clone(),
         checked: vec![Promise::Tickets, Promise::GoesOn],
         ..RunReport::default()
     };
--- a/crates/faults/src/tickets/world.rs
+++ b/crates/faults/src/tickets/world.rs
@@ -18,16 +18,17 @@
 
 use crate::fault::Fault;
 use crate::fault::FaultKind;
-use crate::fault::LAST_FAULT;
 use crate::fault::LATE;
 use crate::fault::PAUSE;
 use crate::fault::REORDER;
 use crate::fault::REPLACE;
 use crate::fault::STORE_OUTAGE;
-use crate::fault::STORE_SLOWNESS;
 use crate::fault::Sabotage;
-use crate::fault::Step;
 use crate::fault::StepClass;
+use crate::outage::STORE_TIMEOUT;
+use crate::outage::Silence;
+use crate::outage::Steps;
+use crate::outage::StoreHealth;
 use crate::queue::Next;
 use crate::queue::Queue;
 
@@ -36,7 +37,6 @@
 const PROCESSES: usize = 4;
 const HOP: Duration = Duration::from_millis(1);
 const STORE: Duration = Duration::from_millis(5);
-const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 const DESK_PAUSE: Duration = Duration::from_millis(300);
 /// Time between heartbeats; longer than in service, to keep runs short.
 const BEAT: Duration = Duration::from_secs(1);
@@ -44,8 +44,6 @@
 const WATCH: Duration = Duration::from_secs(5);
 /// Within this time an accepted ticket is in force wherever work is taken.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(16);
-/// How long a silenced link stays silent before another is dialled.
-const LINK_SILENCE: Duration = Duration::from_secs(1);
 const MAX_STEPS: usize = 20_000;
 
 #[derive(Clone, Debug)]
@@ -104,12 +102,10 @@
     version: u64,
     /// When each ticket was accepted, and its digest.
     accepted: BTreeMap<TicketNumber, (Instant, u64)>,
-    down_until: Option<Instant>,
-    slow_until: Option<Instant>,
-    silent: Vec<(usize, usize, Instant)>,
+    store: StoreHealth,
+    silence: Silence,
     pub(crate) violations: Vec<String>,
-    pub(crate) steps: Vec<Step>,
-    faults: Vec<Fault>,
+    pub(crate) steps: Steps,
     next_desk: usize,
 }
 
@@ -130,12 +126,10 @@
             former: empty,
             version: 0,
             accepted: BTreeMap::new(),
-            down_until: None,
-            slow_until: None,
-            silent: Vec::new(),
+            store: StoreHealth::default(),
+            silence: Silence::default(),
             violations: Vec::new(),
-            steps: Vec::new(),
-            faults: faults.to_vec(),
+            steps: Steps::new(faults),
             next_desk: 10,
         };
         world.queue.after(BEAT, Event::Beats);
@@ -155,7 +149,7 @@
     }
 
     pub(crate) fn run(&mut self, end: Duration) {
-        while self.queue.elapsed() < end && self.steps.len() < MAX_STEPS {
+        while self.queue.elapsed() < end && self.steps.taken.len() < MAX_STEPS {
             let Some(Next::Event(event)) = self.queue.pop(None) else {
                 return;
             };
@@ -198,18 +192,7 @@
     }
 
     fn begin_step(&mut self, class: StepClass, process: Option<usize>, event: &Event) -> bool {
-        let index = self.steps.len();
-        let at = self.queue.elapsed();
-        self.steps.push(Step { class, at });
-        if at > LAST_FAULT {
-            return true;
-        }
-        let due: Vec<FaultKind> = self
-            .faults
-            .iter()
-            .filter(|fault| fault.at_step == index && fault.kind.fits(class))
-            .map(|fault| fault.kind)
-            .collect();
+        let due = self.steps.begin(class, self.queue.elapsed());
         let mut takes_place = true;
         for kind in due {
             takes_place &= self.fault(kind, process, event);
@@ -232,11 +215,8 @@
             }
             FaultKind::SilentOneWay | FaultKind::SilentBothWays => {
                 if let Event::Beat { from, to, .. } | Event::Push { from, to, .. } = event {
-                    let until = now + LINK_SILENCE;
-                    self.silent.push((*from, *to, until));
-                    if kind == FaultKind::SilentBothWays {
-                        self.silent.push((*to, *from, until));
-                    }
+                    let both = kind == FaultKind::SilentBothWays;
+                    self.silence.begin(now, *from, *to, both);
                 }
                 return false;
             }
@@ -254,8 +234,8 @@
                     return false;
                 }
             }
-            FaultKind::StoreDown => self.down_until = Some(now + STORE_OUTAGE),
-            FaultKind::StoreSlow => self.slow_until = Some(now + STORE_OUTAGE),
+            FaultKind::StoreDown => self.store.go_down(now),
+            FaultKind::StoreSlow => self.store.go_slow(now),
             FaultKind::AnswerLost => {
                 if let Event::DeskWrite(desk, version, head) = event {
                     self.write(*version, head);
@@ -335,21 +315,7 @@
     }
 
     fn gets_through(&self, from: usize, to: usize) -> bool {
-        let now = self.queue.now();
-        let silent = self
-            .silent
-            .iter()
-            .any(|(a, b, until)| *a == from && *b == to && now < *until);
-        self.processes[to].up && !silent
-    }
-
-    fn store_pause(&self) -> Option<Duration> {
-        let now = self.queue.now();
-        if self.down_until.is_some_and(|until| now < until) {
-            return None;
-        }
-        let slow = self.slow_until.is_some_and(|until| now < until);
-        Some(if slow { STORE_SLOWNESS } else { STORE })
+        self.processes[to].up && !self.silence.covers(self.queue.now(), from, to)
     }
 
     fn desk(&mut self, desk: usize, input: DeskInput) {
@@ -371,7 +337,7 @@
     }
 
     fn desk_reads(&mut self, desk: usize) {
-        let (pause, input) = match self.store_pause() {
+        let (pause, input) = match self.store.pause(self.queue.now()) {
             Some(pause) => (
                 pause,
                 DeskInput::Read(self.version, Head::clone(&self.head)),
@@ -382,7 +348,7 @@
     }
 
     fn desk_writes(&mut self, desk: usize, version: u64, head: &Head) {
-        let (pause, result) = match self.store_pause() {
+        let (pause, result) = match self.store.pause(self.queue.now()) {
             Some(pause) => (pause, self.write(version, head)),
             None => (STORE_TIMEOUT, WriteResult::Unknown),
         };
@@ -407,7 +373,7 @@
 
     fn rewatch(&mut self, entry: usize) {
         if self.processes[entry].up {
-            if let Some(pause) = self.store_pause() {
+            if let Some(pause) = self.store.pause(self.queue.now()) {
                 let watch = Event::Watch(entry, Arc::clone(&self.head));
                 self.queue.after(pause, watch);
             }
--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -22,12 +22,7 @@
 ///
 /// Fails when it cannot start.
 pub async fn entry(file: &Path) -> Result<()> {
-    let settings = Settings::read(file)?;
-    logging::init(
-        settings.name.as_str(),
-        settings.log_format,
-        settings.log_level,
-    )?;
+    let settings = read_settings(file)?;
     let metrics = telemetry::init();
     let cx = CancellationToken::new();
     let entry = Entry::start(&settings, Arc::new(SystemClock), metrics, cx).await?;
@@ -42,17 +37,23 @@
 ///
 /// Fails when it cannot start.
 pub async fn agent(file: &Path) -> Result<()> {
+    let settings = read_settings(file)?;
+    let cx = CancellationToken::new();
+    let agent = Agent::start(&settings, Arc::new(SystemClock), cx)?;
+    stop_signal().await?;
+    agent.shut_down().await;
+    Ok(())
+}
+
+/// Reads the settings and starts to log as they say.
+fn read_settings(file: &Path) -> Result<Settings> {
     let settings = Settings::read(file)?;
     logging::init(
         settings.name.as_str(),
         settings.log_format,
         settings.log_level,
     )?;
-    let cx = CancellationToken::new();
-    let agent = Agent::start(&settings, Arc::new(SystemClock), cx)?;
-    stop_signal().await?;
-    agent.shut_down().await;
-    Ok(())
+    Ok(settings)
 }
 
 /// Waits until the process is told to stop.
