Search on while many ranks are equally slow

Cause: in dev a group stayed at a skew of 1.35 although a better placement paid: a layer's search ended after six actions without gain, and each action helps one rank of many that are equally slow. Change: 32 actions; ranks as slow as the slowest and heavier swaps are skipped.

--- a/crates/core/src/maps/plan.rs
+++ b/crates/core/src/maps/plan.rs
@@ -23,8 +23,9 @@
 const GIGABYTE: f64 = 1e9;
 /// Least ratio of a plan's value to its cost.
 const MIN_RETURN: f64 = 1.5;
-/// Actions without a better net value after which a layer's search ends.
-const PATIENCE: usize = 6;
+/// Actions without a better net value after which a layer's search ends: as
+/// many ranks may be equally slow, and all must be helped before the step is.
+const PATIENCE: usize = 32;
 /// Least share of the step time that a plan must save.
 const MIN_SAVING: f64 = 0.025;
 
@@ -261,6 +262,26 @@
         assert!(Placement::try_from_layers(SHAPE, &layers).is_some());
     }
 
+    #[test]
+    fn many_ranks_that_are_equally_slow_do_not_end_the_search() {
+        let shape = Shape {
+            ranks: 32,
+            experts: 64,
+            layers: 2,
+            slots: 3,
+        };
+        let (mut loads, speeds) = (Loads::even(shape), [1.0; 32]);
+        for layer in 0..shape.layers {
+            loads.layer_mut(layer)[7 * layer] = 8.0;
+        }
+        let current = Placement::in_turn(shape);
+        let plan = Planner::new(cost(1.0))
+            .plan(&current, &loads, &loads, &speeds)
+            .expect("it pays");
+        let full = super::full_replan(&loads, &speeds);
+        assert!(plan.placement.skew(&loads, &speeds) <= full.skew(&loads, &speeds));
+    }
+
     #[test]
     fn a_slow_rank_gets_less() {
         let current = Placement::in_turn(SHAPE);
--- a/crates/core/src/maps/plan/layer.rs
+++ b/crates/core/src/maps/plan/layer.rs
@@ -6,6 +6,8 @@
 /// Exponent of the smooth maximum: high enough to follow the slowest rank, low
 /// enough to see progress when several are equally slow.
 const NORM: i32 = 8;
+/// A rank at this share of the slowest takes nothing off it.
+const NEARLY: f64 = 0.98;
 /// Actions in one layer.
 const MAX_ACTIONS: usize = 96;
 
@@ -115,7 +117,8 @@
             let hot = self.cells[own];
             for other in 0..self.cells.len() {
                 let rank = other / slots;
-                if rank == slow || self.rank_holds(rank, hot) {
+                let as_slow = self.times[rank] >= self.times[slow] * NEARLY;
+                if as_slow || self.rank_holds(rank, hot) {
                     continue;
                 }
                 if self.copies[usize::from(self.cells[other])] > 1 {
@@ -125,7 +128,8 @@
                     };
                     consider(self.gain_of_replace(other, hot, &mut changes), 1.0, action);
                 }
-                if !self.rank_holds(slow, self.cells[other]) {
+                let lighter = self.held_share(other) < self.held_share(own);
+                if lighter && !self.rank_holds(slow, self.cells[other]) {
                     let action = Action::Swap { a: own, b: other };
                     consider(self.gain_of_swap(own, other), 2.0, action);
                 }
@@ -154,6 +158,12 @@
         self.loads[usize::from(expert)] / f64::from(copies)
     }
 
+    /// Returns the load that a cell brings to its rank.
+    fn held_share(&self, cell: usize) -> f64 {
+        let expert = self.cells[cell];
+        self.share(expert, self.copies[usize::from(expert)])
+    }
+
     /// Returns how much a replacement lowers the norm.
     fn gain_of_replace(&self, cell: usize, hot: u16, changes: &mut Changes) -> f64 {
         let cold = self.cells[cell];
@@ -186,11 +196,7 @@
     /// Returns how much a swap lowers the norm.
     fn gain_of_swap(&self, a: usize, b: usize) -> f64 {
         let slots = self.shape.slots;
-        let share = |cell: usize| {
-            let expert = self.cells[cell];
-            self.share(expert, self.copies[usize::from(expert)])
-        };
-        let change = share(b) - share(a);
+        let change = self.held_share(b) - self.held_share(a);
         self.change_of_norm(a / slots, change) + self.change_of_norm(b / slots, -change)
     }
 
