Run an entry and an agent as processes of their own in a test; mend the time line page

Cause: the binary's roles were tried by hand only; on the page the last label was cut off, colours had no legend, and runners not linked yet showed as lost. Change: a test that starts the binary twice, books through it, terminates the entry in the middle of the booking and reads the recorded answer elsewhere.

--- a/src/command/dev.rs
+++ b/src/command/dev.rs
@@ -215,6 +215,21 @@
         Ok(())
     }
 
+    /// Issues a certificate for a process that is started elsewhere.
+    ///
+    /// # Errors
+    ///
+    /// Fails when its files cannot be written.
+    pub fn issue(&self, name: &str) -> Result<TlsSettings> {
+        self.authority.issue(&ProcessId::new(name))
+    }
+
+    /// Lists a process that was started elsewhere.
+    pub fn list(&mut self, instance: Instance) {
+        self.instances.push(instance);
+        self.list_instances();
+    }
+
     /// Replaces the address under which the platform lists a process.
     pub fn relist(&mut self, name: &str, address: SocketAddr) {
         for instance in &mut self.instances {
--- a/src/command/timeline/html.rs
+++ b/src/command/timeline/html.rs
@@ -10,6 +10,7 @@
 const LANE_HEIGHT: usize = 26;
 const LABEL_WIDTH: usize = 150;
 const DRAWING_WIDTH: usize = 1_000;
+const RIGHT_MARGIN: usize = 60;
 const AXIS_HEIGHT: usize = 30;
 const TICKS: usize = 10;
 
@@ -23,7 +24,7 @@
     let span = (end - start).max(1);
     let mut page = String::from(HEAD);
     let height = AXIS_HEIGHT + lanes.len() * LANE_HEIGHT;
-    let width = LABEL_WIDTH + DRAWING_WIDTH + 20;
+    let width = LABEL_WIDTH + DRAWING_WIDTH + RIGHT_MARGIN;
     let _ = write!(page, "<svg width=\"{width}\" height=\"{height}\">");
     draw_axis(&mut page, start, span, height);
     for (index, lane) in lanes.iter().enumerate() {
@@ -57,7 +58,12 @@
 <style>body{font:13px sans-serif;margin:16px}text{font:12px sans-serif}\
 td,th{padding:1px 10px;text-align:left;font-variant-numeric:tabular-nums}\
 table{margin-top:14px;border-collapse:collapse}tr:nth-child(even){background:#f4f4f6}</style>\
-</head><body>\n<h2>Time line</h2>\n";
+</head><body>\n<h2>Time line</h2>\n\
+<p><span style=\"color:#c0392b\">&#9679;</span> fault \
+<span style=\"color:#d68910\">&#9679;</span> work refused or moved \
+<span style=\"color:#1f618d\">&#9679;</span> ticket \
+<span style=\"color:#7d3c98\">&#9679;</span> expert map \
+<span style=\"color:#229954\">&#9679;</span> recovery and the rest</p>\n";
 
 fn draw_axis(page: &mut String, start: u64, span: u64, height: usize) {
     for tick in 0..=TICKS {
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -1,6 +1,7 @@
 //! The task that owns the membership and the links of an entry.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -83,6 +84,8 @@
     dialers: BTreeMap<ProcessId, CancellationToken>,
     links: BTreeMap<ProcessId, Link>,
     tickets: BTreeMap<ProcessId, u64>,
+    /// Agents that had a link since they were first listed.
+    seen_up: BTreeSet<ProcessId>,
     router: RouterHandle,
     events: mpsc::Sender<LinkEvent>,
     table: watch::Sender<LinkTable>,
@@ -111,6 +114,7 @@
             dialers: BTreeMap::new(),
             links: BTreeMap::new(),
             tickets: BTreeMap::new(),
+            seen_up: BTreeSet::new(),
             router,
             events,
             table,
@@ -227,6 +231,7 @@
             Output::Changed(id, state) => self.changed(&id, state).await,
             Output::Gone(id) => {
                 self.tickets.remove(&id);
+                self.seen_up.remove(&id);
                 let runner = RunnerId::new(id.as_str());
                 self.router.runner(runner, RunnerChange::Gone).await;
             }
@@ -271,7 +276,14 @@
                 EventKind::RunnerLeaving(runner.clone()),
             ),
         };
-        self.node.timeline.record(event);
+        // A runner that was never linked is not lost.
+        let new = state == RunnerState::Suspect && !self.seen_up.contains(id);
+        if state == RunnerState::Up {
+            self.seen_up.insert(id.clone());
+        }
+        if !new {
+            self.node.timeline.record(event);
+        }
         let change = RunnerChange::State {
             service,
             place,
