Pass fencing numbers on, answer refused bodies, restore engines unfenced; draw schedules of three faults

Change: keyed calls carry X-Fencing-Number where the ticket says so; a refused body is read before it is answered; a restore carries no term, and an engine without state refuses everything else.

--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use wisteriawick_faults::Scenario;
+use wisteriawick_faults::run_all_pairs;
 use wisteriawick_faults::run_pairs;
 use wisteriawick_faults::run_singles;
 
@@ -25,14 +26,27 @@
         "runs",
         Target::None,
     );
-    let failures = singles.failures.len() + pairs.failures.len();
+    let all = run_all_pairs(Scenario::Booking);
+    report.add(
+        "runs with every pair of faults in a booking",
+        all.runs as f64,
+        "runs",
+        Target::None,
+    );
+    let failures = singles.failures.len() + pairs.failures.len() + all.failures.len();
     report.add("promises broken", failures as f64, "", Target::AtMost(0.0));
     report.add("time", start.elapsed().as_secs_f64(), "s", Target::None);
     report.note(format!("\nOne fault; cases / failures:\n\n{singles}"));
     report.note(format!(
         "Two faults, seed {seed}; cases / failures:\n\n{pairs}"
     ));
-    for (scenario, faults, violation) in singles.failures.iter().chain(&pairs.failures).take(20) {
+    for (scenario, faults, violation) in singles
+        .failures
+        .iter()
+        .chain(&pairs.failures)
+        .chain(&all.failures)
+        .take(20)
+    {
         report.note(format!("{scenario:?} {faults:?}: {violation:?}"));
     }
 }
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -13,6 +13,7 @@
 use crate::gate::Refusal;
 use crate::ids::AttemptId;
 use crate::ids::RunnerId;
+use crate::ids::Term;
 use crate::ledger::Answer;
 use crate::ledger::LedgerReply;
 use crate::router::AttemptResult;
@@ -176,6 +177,8 @@
         suspect: bool,
         /// Events of the answer that the caller has already.
         resume_from: u64,
+        /// Fencing number of a keyed call, for endpoints that check it.
+        term: Option<Term>,
     },
     /// Ask the agent, over a new link, for the answer or evidence of none.
     Recover(AttemptId, RunnerId),
--- a/crates/core/src/call/core.rs
+++ b/crates/core/src/call/core.rs
@@ -12,6 +12,7 @@
 use crate::gate::Refusal;
 use crate::ids::AttemptId;
 use crate::ids::RunnerId;
+use crate::ids::Term;
 use crate::ledger::Answer;
 use crate::ledger::LedgerReply;
 use crate::router::AttemptResult;
@@ -44,8 +45,8 @@
     state: State,
     /// Whether any attempt so far may have run.
     may_have_run: bool,
-    /// Whether the ledger granted the claim.
-    claimed: bool,
+    /// Term under which the ledger granted the claim.
+    claimed: Option<Term>,
     stream_begun: bool,
     /// Events that the caller has, all in order and without gaps.
     relayed: u64,
@@ -60,7 +61,7 @@
             plan,
             state: State::New,
             may_have_run: false,
-            claimed: false,
+            claimed: None,
             stream_begun: false,
             relayed: 0,
             caller_done: false,
@@ -132,8 +133,8 @@
             return;
         }
         match reply {
-            LedgerReply::Granted(_) => {
-                self.claimed = true;
+            LedgerReply::Granted(term) => {
+                self.claimed = Some(term);
                 self.queue(out);
             }
             LedgerReply::Done(answer) => {
@@ -180,6 +181,7 @@
             runner,
             suspect,
             resume_from: self.relayed,
+            term: self.claimed,
         });
     }
 
@@ -205,7 +207,7 @@
         } else {
             Outcome::NotRun
         };
-        if self.claimed && !self.may_have_run {
+        if self.claimed.is_some() && !self.may_have_run {
             out.push(Output::Release);
         }
         self.fail(failure, outcome, out);
@@ -235,7 +237,7 @@
     fn again(&mut self, attempt: AttemptId, result: AttemptResult, out: &mut Vec<Output>) {
         if self.caller_done {
             out.push(Output::Ended(attempt, AttemptResult::Cancelled));
-            if self.claimed && !self.may_have_run {
+            if self.claimed.is_some() && !self.may_have_run {
                 out.push(Output::Release);
             }
             self.close(out);
@@ -316,7 +318,7 @@
         self.may_have_run = true;
         let took = now.saturating_duration_since(run.started);
         out.push(Output::Ended(attempt, AttemptResult::Answered { took }));
-        if self.claimed {
+        if self.claimed.is_some() {
             out.push(Output::Settle(answer.clone()));
         }
         if !self.caller_done {
@@ -393,7 +395,7 @@
             }
             State::Queued => {
                 out.push(Output::Withdraw);
-                if self.claimed && !self.may_have_run {
+                if self.claimed.is_some() && !self.may_have_run {
                     out.push(Output::Release);
                 }
                 self.close(out);
@@ -408,7 +410,7 @@
     /// Lets a keyed attempt finish so that its answer is recorded; stops others.
     fn leave_running(&mut self, run: &Run, out: &mut Vec<Output>) {
         self.caller_done = true;
-        if self.claimed {
+        if self.claimed.is_some() {
             return;
         }
         out.push(Output::Cancel(run.attempt, run.runner.clone()));
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -23,6 +23,7 @@
 pub use matrix::Promise;
 pub use matrix::Scenario;
 pub use matrix::Violation;
+pub use matrix::run_all_pairs;
 pub use matrix::run_case;
 pub use matrix::run_pairs;
 pub use matrix::run_singles;
--- a/crates/faults/src/matrix.rs
+++ b/crates/faults/src/matrix.rs
@@ -246,3 +246,16 @@
     }
     matrix
 }
+
+/// Puts every pair of faults at every pair of steps of a scenario.
+pub fn run_all_pairs(scenario: Scenario) -> Matrix {
+    let mut matrix = Matrix::default();
+    let singles = single_faults(scenario);
+    for (index, first) in singles.iter().enumerate() {
+        for second in &singles[index..] {
+            let faults = [*first, *second];
+            matrix.add(scenario, &faults, &scenario.run(&faults, None));
+        }
+    }
+    matrix
+}
--- a/crates/faults/src/path/entries.rs
+++ b/crates/faults/src/path/entries.rs
@@ -215,6 +215,7 @@
                 runner,
                 suspect,
                 resume_from,
+                ..
             } => self.send_attempt(entry, request, attempt, &runner, suspect, resume_from),
             CallOutput::Recover(attempt, runner) => {
                 let event = Event::Recover {
--- a/crates/faults/tests/faults.rs
+++ b/crates/faults/tests/faults.rs
@@ -1,14 +1,19 @@
 //! Every fault at every step, pairs of faults, and proof that checks can fail.
 
+use wisteriawick_faults::Fault;
+use wisteriawick_faults::FaultKind;
 use wisteriawick_faults::Matrix;
 use wisteriawick_faults::Promise;
 use wisteriawick_faults::Sabotage;
 use wisteriawick_faults::Scenario;
+use wisteriawick_faults::run_case;
 use wisteriawick_faults::run_pairs;
 use wisteriawick_faults::run_singles;
 
 /// Seed of the pairs that CI draws.
 const SEED: u64 = 1;
+/// Schedules of three faults that CI draws.
+const SCHEDULES: usize = 1_500;
 /// Pairs that CI draws for each scenario.
 const PAIRS: usize = 400;
 
@@ -36,6 +41,24 @@
     assert_clean(&run_pairs(&Scenario::ALL, SEED, PAIRS));
 }
 
+/// Draws schedules of three faults.
+#[test]
+fn drawn_schedules_keep_every_promise() {
+    bolero::check!()
+        .with_iterations(SCHEDULES)
+        .with_test_time(std::time::Duration::MAX)
+        .with_type::<(u8, [(u8, u8); 3])>()
+        .for_each(|(scenario, drawn)| {
+            let scenario = Scenario::ALL[usize::from(*scenario) % Scenario::ALL.len()];
+            let faults = drawn.map(|(kind, step)| Fault {
+                kind: FaultKind::ALL[usize::from(kind) % FaultKind::ALL.len()],
+                at_step: usize::from(step),
+            });
+            let broken = run_case(scenario, &faults, None);
+            assert!(broken.is_empty(), "{scenario:?} {faults:?}: {broken:?}");
+        });
+}
+
 #[test]
 fn the_same_seed_gives_the_same_verdict() {
     let table = || run_pairs(&[Scenario::TakeOver], SEED, 30).to_string();
--- a/crates/standins/src/engine/lockstep.rs
+++ b/crates/standins/src/engine/lockstep.rs
@@ -407,7 +407,9 @@
     let body: Value = serde_json::from_slice(&body.to_bytes()).unwrap_or_default();
     let number = |key: &str| body[key].as_u64().unwrap_or(0);
     let (term, map, step) = (number("term"), number("map"), number("step"));
-    if !accept_term(group, runner, term) {
+    // A restore carries no term: it only ever gives state to an engine without any.
+    let fenced = path != "/v1/engine/map/restore";
+    if fenced && !accept_term(group, runner, term) {
         return json_answer(
             StatusCode::PRECONDITION_FAILED,
             &json!({ "error": "old term" }),
@@ -428,6 +430,10 @@
 
 fn accept_term(group: &LockstepGroup, runner: usize, term: u64) -> bool {
     let mut state = group.lock();
+    if state.runners[runner].active.is_none() {
+        // Without state there is nothing to change.
+        return false;
+    }
     let held = &mut state.runners[runner].term;
     if term < *held {
         return !group.config.checks_fencing;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -6,7 +6,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -277,8 +276,3 @@
         (name == key).then(|| value.parse().ok())?
     })
 }
-
-/// Wraps a value as the platform answers it; for fakes of the same protocol.
-pub fn object_body(version: u64, value: &Value) -> Bytes {
-    Bytes::from(json!({ "version": version, "value": value }).to_string())
-}
--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -35,6 +35,8 @@
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 /// Header with the number of events that the caller has already.
 const RESUME_HEADER: &str = "x-resume-events";
+/// Header with the fencing number of a keyed call.
+const TERM_HEADER: &str = "x-fencing-number";
 /// The event that ends a stream of chat completions.
 const DONE_EVENT: &[u8] = b"data: [DONE]";
 
@@ -151,6 +153,9 @@
     if wire.resume_from > 0 {
         req = req.header(RESUME_HEADER, wire.resume_from);
     }
+    if let Some(term) = wire.term {
+        req = req.header(TERM_HEADER, term);
+    }
     req.body(Full::new(wire.body.clone()))
 }
 
@@ -246,9 +251,39 @@
 
 #[cfg(test)]
 mod tests {
+    use bytes::Bytes;
     use bytes::BytesMut;
 
+    use super::request;
     use super::split_events;
+    use crate::agent::Endpoint;
+    use crate::link::AttemptWire;
+
+    #[test]
+    fn an_endpoint_that_checks_fencing_gets_the_term() {
+        let address = "127.0.0.1:1".parse().expect("an address");
+        let mut wire = AttemptWire {
+            attempt: 1,
+            meant_for: 1,
+            remaining_us: 1,
+            sent_us: 0,
+            suspect: false,
+            stream: false,
+            resume_from: 0,
+            term: Some(7),
+            fingerprint: 1,
+            method: "POST".into(),
+            path: "/bookings".into(),
+            content_type: String::new(),
+            body: Bytes::new(),
+        };
+        let endpoint = Endpoint::new(address);
+        let req = request(&endpoint, &wire).expect("a request");
+        assert_eq!(req.headers()[super::TERM_HEADER], "7");
+        wire.term = None;
+        let req = request(&endpoint, &wire).expect("a request");
+        assert!(!req.headers().contains_key(super::TERM_HEADER));
+    }
 
     #[test]
     fn events_are_split_wherever_the_bytes_are_cut() {
--- a/src/entry/call_task.rs
+++ b/src/entry/call_task.rs
@@ -24,6 +24,7 @@
 use wisteriawick_core::ids::Incarnation;
 use wisteriawick_core::ids::ProcessId;
 use wisteriawick_core::ids::RunnerId;
+use wisteriawick_core::ids::Term;
 use wisteriawick_core::ledger::Answer;
 use wisteriawick_core::ledger::CallKey;
 use wisteriawick_core::ledger::Claim;
@@ -305,7 +306,11 @@
                 runner,
                 suspect,
                 resume_from,
-            } => self.send(attempt, runner, suspect, resume_from),
+                term,
+            } => {
+                let term = term.filter(|_| self.caller.limits.checks_fencing);
+                self.send(attempt, runner, suspect, resume_from, term);
+            }
             Output::Recover(attempt, runner) => self.recover(attempt, runner),
             Output::Cancel(attempt, runner) => self.cancel(attempt, runner),
             Output::BeginStream => self.begin_stream(),
@@ -375,7 +380,14 @@
             .await;
     }
 
-    fn send(&mut self, attempt: AttemptId, runner: RunnerId, suspect: bool, resume_from: u64) {
+    fn send(
+        &mut self,
+        attempt: AttemptId,
+        runner: RunnerId,
+        suspect: bool,
+        resume_from: u64,
+        term: Option<Term>,
+    ) {
         if resume_from > 0 {
             let event = EventKind::StreamResumed {
                 attempt,
@@ -396,6 +408,7 @@
             suspect,
             stream: self.caller.plan.kind == CallKind::Stream,
             resume_from,
+            term: term.map(|term| term.0),
             fingerprint: self.caller.fingerprint.0,
             method: self.caller.method.to_string(),
             path: self.caller.path.clone(),
--- a/src/entry/http_api.rs
+++ b/src/entry/http_api.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use http::HeaderValue;
+use http_body_util::BodyExt;
 use salvo::Depot;
 use salvo::FlowCtrl;
 use salvo::Handler;
@@ -14,6 +15,7 @@
 use salvo::Response;
 use salvo::async_trait;
 use salvo::http::ParseError;
+use salvo::http::ReqBody;
 use salvo::http::StatusCode;
 use serde_json::json;
 use tokio::sync::mpsc;
@@ -38,6 +40,8 @@
 
 /// Largest body of a caller, in bytes.
 pub(crate) const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Most of a refused body that is read before it is answered, in bytes.
+const MAX_DISCARDED_BYTES: usize = 64 * 1024 * 1024;
 /// Header with what became of a request: `ran`, `not-run` or `unknown`.
 const OUTCOME_HEADER: &str = "wisteriawick-outcome";
 /// Header that marks an answer replayed from the ledger.
@@ -212,12 +216,15 @@
 }
 
 async fn read_body(req: &mut Request) -> Result<Bytes, (StatusCode, String)> {
+    if declared_length(req) > MAX_BODY_BYTES {
+        // A caller that is still writing would otherwise see a broken
+        // connection in place of the answer.
+        discard(req.take_body()).await;
+        return Err(too_large());
+    }
     match req.payload_with_max_size(MAX_BODY_BYTES).await {
         Ok(body) => Ok(body.clone()),
-        Err(ParseError::PayloadTooLarge) => Err((
-            StatusCode::PAYLOAD_TOO_LARGE,
-            format!("the body is larger than {MAX_BODY_BYTES} bytes; send less"),
-        )),
+        Err(ParseError::PayloadTooLarge) => Err(too_large()),
         Err(e) => Err((
             StatusCode::BAD_REQUEST,
             format!("the body cannot be read ({e}); send it whole"),
@@ -225,6 +232,30 @@
     }
 }
 
+fn too_large() -> (StatusCode, String) {
+    let message = format!("the body is larger than {MAX_BODY_BYTES} bytes; send less");
+    (StatusCode::PAYLOAD_TOO_LARGE, message)
+}
+
+fn declared_length(req: &Request) -> usize {
+    let length = req.headers().get(http::header::CONTENT_LENGTH);
+    length
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0)
+}
+
+/// Reads a body that will not be used, as far as is reasonable.
+async fn discard(mut body: ReqBody) {
+    let mut read = 0;
+    while let Some(Ok(frame)) = body.frame().await {
+        read += frame.data_ref().map_or(0, Bytes::len);
+        if read > MAX_DISCARDED_BYTES {
+            return;
+        }
+    }
+}
+
 /// Returns the path and query below the service's name, as they were sent.
 fn endpoint_path(req: &Request) -> String {
     let uri = req.uri();
--- a/src/link/wire.rs
+++ b/src/link/wire.rs
@@ -116,6 +116,8 @@
     pub stream: bool,
     /// Events of the answer that the caller has already.
     pub resume_from: u64,
+    /// Fencing number, for an endpoint that checks it.
+    pub term: Option<u64>,
     /// Hash of what the request asks for.
     pub fingerprint: u128,
     /// HTTP method.
