--- a/crates/core/src/call/core.rs
+++ b/crates/core/src/call/core.rs
@@ -106,11 +106,6 @@
         }
     }
 
-    /// Returns whether the caller has its final answer.
-    pub fn is_caller_done(&self) -> bool {
-        self.caller_done
-    }
-
     fn begin(&mut self, out: &mut Vec<Output>) {
         if self.state != State::New {
             return;
--- a/crates/core/src/gate/core.rs
+++ b/crates/core/src/gate/core.rs
@@ -194,11 +194,6 @@
         self.endpoint_up
     }
 
-    /// Returns the attempts that the endpoint runs now.
-    pub fn running(&self) -> impl Iterator<Item = AttemptId> {
-        self.running.keys().copied()
-    }
-
     fn offer(&mut self, now: Instant, offer: Offer, out: &mut Vec<Output>) {
         if self.has_started(offer.attempt) {
             // A copy of what runs or ran: a refusal would be false evidence.
--- a/crates/core/src/maps/switch/core.rs
+++ b/crates/core/src/maps/switch/core.rs
@@ -298,13 +298,18 @@
             return;
         }
         self.term = ballot.term;
+        self.open_ballot(ballot);
+        self.ask_at = Some(now + ASK_AFTER);
+        out.push(SwitchOutput::Order(EngineOrder::Arm(ballot)));
+    }
+
+    /// Opens a ballot with the votes that came before it was proposed here.
+    fn open_ballot(&mut self, ballot: Ballot) {
         let votes = self
             .early
             .remove(&ballot)
             .unwrap_or_else(|| vec![None; self.lives.len()]);
         self.open = Some(Open { ballot, votes });
-        self.ask_at = Some(now + ASK_AFTER);
-        out.push(SwitchOutput::Order(EngineOrder::Arm(ballot)));
     }
 
     fn refuse(&mut self, now: Instant, ballot: Ballot, out: &mut Vec<SwitchOutput>) {
@@ -558,7 +563,7 @@
         self.ask_at = None;
         self.tell_staged(out);
         let Some((ballot, go)) = self.engine.armed else {
-            self.forget_passed(now, out);
+            self.arm_again(now, out);
             return;
         };
         self.ask_at = Some(now + ASK_AFTER);
@@ -568,11 +573,7 @@
             self.order_decision(now, ballot, decision, out);
         } else if self.open.is_none() {
             // Armed by a former life: its vote stands.
-            let votes = self
-                .early
-                .remove(&ballot)
-                .unwrap_or_else(|| vec![None; self.lives.len()]);
-            self.open = Some(Open { ballot, votes });
+            self.open_ballot(ballot);
             self.armed(now, ballot, out);
         } else {
             self.armed(now, ballot, out);
@@ -580,7 +581,7 @@
     }
 
     /// The engine is not armed although a ballot is open: arm it again.
-    fn forget_passed(&mut self, now: Instant, out: &mut Vec<SwitchOutput>) {
+    fn arm_again(&mut self, now: Instant, out: &mut Vec<SwitchOutput>) {
         if let Some(open) = &mut self.open
             && open.votes[self.me].is_none()
         {
--- a/crates/faults/src/path/ledgers.rs
+++ b/crates/faults/src/path/ledgers.rs
@@ -15,6 +15,8 @@
 use wisteriawick_core::ledger::Input as ShardInput;
 use wisteriawick_core::ledger::KeyDigest;
 use wisteriawick_core::ledger::LedgerReply;
+use wisteriawick_core::ledger::ObjectName;
+use wisteriawick_core::ledger::OpId;
 use wisteriawick_core::ledger::Output as ShardOutput;
 use wisteriawick_core::ledger::WriteResult;
 use wisteriawick_core::membership::shard_owner;
@@ -239,30 +241,12 @@
         let at = self.queue.moment();
         let mut out = Vec::new();
         self.entries[entry].shard.handle(at, input, &mut out);
-        let life = self.entries[entry].life;
         for output in out {
             match output {
-                ShardOutput::Read(op, name) => {
-                    let call = StoreCall::Read;
-                    let event = Event::Store {
-                        entry,
-                        life,
-                        op,
-                        name,
-                        call,
-                    };
-                    self.queue.after(HOP, event);
-                }
+                ShardOutput::Read(op, name) => self.call_store(entry, op, name, StoreCall::Read),
                 ShardOutput::Write(op, name, if_version, content) => {
                     let call = StoreCall::Write(if_version, content);
-                    let event = Event::Store {
-                        entry,
-                        life,
-                        op,
-                        name,
-                        call,
-                    };
-                    self.queue.after(HOP, event);
+                    self.call_store(entry, op, name, call);
                 }
                 ShardOutput::Reply(caller, reply) => self.shard_replied(entry, caller, reply),
                 ShardOutput::Remove(..) | ShardOutput::Taken(_) | ShardOutput::Lost => {}
@@ -270,6 +254,17 @@
         }
     }
 
+    fn call_store(&mut self, entry: usize, op: OpId, name: ObjectName, call: StoreCall) {
+        let event = Event::Store {
+            entry,
+            life: self.entries[entry].life,
+            op,
+            name,
+            call,
+        };
+        self.queue.after(HOP, event);
+    }
+
     fn shard_replied(&mut self, entry: usize, caller: CallerId, reply: LedgerReply) {
         let Some(asker) = self.entries[entry].askers.remove(&caller) else {
             return;
@@ -315,7 +310,7 @@
         &mut self,
         entry: usize,
         life: Incarnation,
-        op: wisteriawick_core::ledger::OpId,
+        op: OpId,
         answer: StoreAnswer,
     ) {
         if !self.entries[entry].up || self.entries[entry].life != life {
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -11,6 +11,7 @@
 use wisteriawick_core::fleet::Fleet;
 use wisteriawick_core::fleet::Service;
 use wisteriawick_core::fleet::ServiceKind;
+use wisteriawick_core::fleet::Workspace;
 use wisteriawick_core::ids::Fingerprint;
 use wisteriawick_core::ids::ServiceId;
 use wisteriawick_core::ids::WorkspaceId;
@@ -109,7 +110,7 @@
 pub(crate) fn authenticate<'a>(
     fleet: &'a Fleet,
     headers: &HeaderMap,
-) -> Result<(&'a WorkspaceId, &'a wisteriawick_core::fleet::Workspace), CallerError> {
+) -> Result<(&'a WorkspaceId, &'a Workspace), CallerError> {
     let key = bearer(headers).ok_or(CallerError::NoKey)?;
     fleet.workspace_by_key(key).ok_or(CallerError::UnknownKey)
 }
@@ -125,14 +126,13 @@
 
 /// Reads a chat request.
 pub(crate) fn read_chat(fleet: &Fleet, parts: &Parts<'_>) -> Result<CallerRequest, CallerError> {
-    let (workspace, _) = authenticate(fleet, parts.headers)?;
+    let caller = authenticate(fleet, parts.headers)?;
     let chat: ChatWire =
         serde_json::from_slice(parts.body).map_err(|e| CallerError::NotChat(e.to_string()))?;
     if chat.messages.is_empty() {
         return Err(CallerError::NotChat("messages is empty".into()));
     }
-    let workspace = workspace.clone();
-    let mut req = read(fleet, &workspace, &chat.model, ServiceKind::Model, parts)?;
+    let mut req = read(fleet, caller, &chat.model, ServiceKind::Model, parts)?;
     if chat.stream {
         if req.plan.keyed {
             return Err(CallerError::KeyedStream);
@@ -155,14 +155,13 @@
     service: &str,
     parts: &Parts<'_>,
 ) -> Result<CallerRequest, CallerError> {
-    let (workspace, _) = authenticate(fleet, parts.headers)?;
-    let workspace = workspace.clone();
-    read(fleet, &workspace, service, ServiceKind::Plain, parts)
+    let caller = authenticate(fleet, parts.headers)?;
+    read(fleet, caller, service, ServiceKind::Plain, parts)
 }
 
 fn read(
     fleet: &Fleet,
-    workspace: &WorkspaceId,
+    (workspace, declared): (&WorkspaceId, &Workspace),
     service: &str,
     kind: ServiceKind,
     parts: &Parts<'_>,
@@ -173,10 +172,6 @@
     if limits.kind != kind {
         return Err(unknown());
     }
-    let declared = fleet
-        .workspaces
-        .get(workspace)
-        .ok_or(CallerError::UnknownKey)?;
     if !declared.services.contains(&id) {
         return Err(CallerError::NotAllowed(id));
     }
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -161,7 +161,7 @@
     /// # Errors
     ///
     /// Fails when the bytes are no frame.
-    pub fn try_buffered<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
+    fn try_buffered<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
         let held = &self.buf[self.start..];
         match split_frame(held)? {
             Some(frame) => {
@@ -174,11 +174,6 @@
         }
     }
 
-    /// Tells the peer that nothing more is read.
-    pub fn stop(&mut self) {
-        let _ = self.stream.stop(0u32.into());
-    }
-
     fn compact(&mut self) {
         if self.start > 0 {
             self.buf.drain(..self.start);
