--- /dev/null
+++ b/crates/core/src/gateway/pool.rs
@@ -0,0 +1,379 @@
+//! Where requests of one service run, wait or are turned away.
+//!
+//! The load it answers: more arrivals than the runners can serve on time.
+//! Work waits here and not at runners, so that urgency and deadlines decide to
+//! the last moment; each runner holds only as much as it serves well. What
+//! cannot begin in time is refused at once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::gateway::LoadReport;
+use crate::hosting::ListedRunner;
+use crate::hosting::ListedState;
+use crate::ids::PlaceId;
+use crate::ids::RunnerId;
+
+/// First absence of a runner that failed; doubles with each further failure.
+const FIRST_ABSENCE: Duration = Duration::from_millis(500);
+/// Longest absence, so that a runner that is well again is found.
+const LONGEST_ABSENCE: Duration = Duration::from_secs(4);
+/// Failures in a row before a runner is left out.
+const FAILURES_BEFORE_ABSENCE: u32 = 2;
+/// Bounds of the advice when to come back.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(300);
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(4);
+/// Time constant of the measured rate at which requests end.
+const RATE_WINDOW: Duration = Duration::from_secs(2);
+/// Age at which a load report says nothing any more.
+const REPORT_LIFE: Duration = Duration::from_millis(1500);
+/// Slowness of one runner that another data centre is worth.
+const FAR_PENALTY: f64 = 0.15;
+
+/// Names a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TicketId(pub u64);
+
+/// What a request needs to be placed.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// Its name while it waits.
+    pub ticket: TicketId,
+    /// Rank; zero goes first.
+    pub priority: u32,
+    /// When its answer must have begun to be on time.
+    pub on_time: Instant,
+    /// When nobody waits for it any more.
+    pub deadline: Instant,
+    /// Runners that it must not reach again.
+    pub excluded: Vec<RunnerId>,
+}
+
+/// A runner that was chosen.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// The runner.
+    pub runner: ListedRunner,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Admission {
+    /// Send it to this runner.
+    Run(Candidate),
+    /// It waits; a [`Wake`] follows.
+    Wait,
+    /// Turn it away.
+    Refuse {
+        /// When there will be room.
+        retry_after: Duration,
+    },
+}
+
+/// A waiting request that goes on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Wake {
+    /// The request.
+    pub ticket: TicketId,
+    /// What becomes of it; never `Wait`.
+    pub admission: Admission,
+}
+
+/// Whether a runner served what it was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunnerStatus {
+    /// It answered.
+    Served,
+    /// The caller left; nothing is known of the runner.
+    Abandoned,
+    /// It said that it is full.
+    Busy,
+    /// It broke off, failed or did not answer.
+    Failed,
+    /// Its address belongs to another runner now.
+    Replaced,
+}
+
+/// Limits of a pool.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PoolLimits {
+    /// Requests of this entry that one runner holds at most.
+    pub per_runner: u32,
+    /// Requests that wait at most.
+    pub waiting: usize,
+    /// Share of the time until the deadline that a request may wait.
+    pub wait_share: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Runner {
+    listed: ListedRunner,
+    /// Own requests at it.
+    in_flight: u32,
+    failures: u32,
+    absent_until: Option<Instant>,
+    report: Option<(Instant, LoadReport)>,
+    /// Whether it is gone from the list; kept while requests are at it.
+    gone: bool,
+}
+
+impl Runner {
+    fn takes_work(&self, now: Instant) -> bool {
+        let open = match self.fresh_report(now) {
+            Some(report) => report.group_open != Some(false),
+            None => true,
+        };
+        open && !self.gone
+            && self.listed.state == ListedState::Ready
+            && self.absent_until.is_none_or(|until| now >= until)
+    }
+
+    fn fresh_report(&self, now: Instant) -> Option<&LoadReport> {
+        self.report
+            .as_ref()
+            .filter(|(at, _)| now.saturating_duration_since(*at) < REPORT_LIFE)
+            .map(|(_, report)| report)
+    }
+}
+
+/// The runners of one service as one entry sees them, and what waits for them.
+#[derive(Debug)]
+pub struct Pool {
+    place: PlaceId,
+    limits: PoolLimits,
+    runners: BTreeMap<RunnerId, Runner>,
+    waiting: Vec<Work>,
+    /// Requests that end in a second, smoothed.
+    rate: f64,
+    rate_at: Instant,
+    /// Turns ties over all runners.
+    turn: u64,
+}
+
+impl Pool {
+    /// Returns a pool without runners.
+    pub fn new(now: Instant, place: PlaceId, limits: PoolLimits) -> Self {
+        Self {
+            place,
+            limits,
+            runners: BTreeMap::new(),
+            waiting: Vec::new(),
+            rate: 0.0,
+            rate_at: now,
+            turn: 0,
+        }
+    }
+
+    /// Changes the limits.
+    pub fn set_limits(&mut self, limits: PoolLimits) {
+        self.limits = limits;
+    }
+
+    /// Takes the list of the service's runners.
+    pub fn set_runners(&mut self, listed: Vec<ListedRunner>) {
+        for runner in self.runners.values_mut() {
+            runner.gone = true;
+        }
+        for listed in listed {
+            match self.runners.get_mut(&listed.id) {
+                Some(held) => {
+                    let reborn = held.listed.born_ms != listed.born_ms
+                        || held.listed.address != listed.address;
+                    if reborn {
+                        held.failures = 0;
+                        held.absent_until = None;
+                        held.report = None;
+                    }
+                    held.listed = listed;
+                    held.gone = false;
+                }
+                None => {
+                    let runner = Runner {
+                        listed: listed.clone(),
+                        in_flight: 0,
+                        failures: 0,
+                        absent_until: None,
+                        report: None,
+                        gone: false,
+                    };
+                    self.runners.insert(listed.id, runner);
+                }
+            }
+        }
+        self.runners
+            .retain(|_, runner| !runner.gone || runner.in_flight > 0);
+    }
+
+    /// Takes a runner's report of its load.
+    pub fn report(&mut self, now: Instant, id: &RunnerId, report: LoadReport) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.report = Some((now, report));
+        }
+    }
+
+    /// Returns whether a runner takes work.
+    pub fn has_runner(&self, now: Instant) -> bool {
+        self.runners.values().any(|runner| runner.takes_work(now))
+    }
+
+    /// Returns requests at runners and requests that wait.
+    pub fn load(&self) -> (u32, usize) {
+        let in_flight = self.runners.values().map(|runner| runner.in_flight).sum();
+        (in_flight, self.waiting.len())
+    }
+
+    /// Places a request, lets it wait or turns it away.
+    pub fn admit(&mut self, now: Instant, work: Work) -> Admission {
+        if now >= work.deadline {
+            return self.refuse();
+        }
+        if let Some(candidate) = self.choose(now, &work) {
+            return Admission::Run(candidate);
+        }
+        if !self.may_wait(now, &work) {
+            return self.refuse();
+        }
+        let rank = |work: &Work| (work.priority, work.on_time);
+        let at = self
+            .waiting
+            .partition_point(|held| rank(held) <= rank(&work));
+        self.waiting.insert(at, work);
+        Admission::Wait
+    }
+
+    /// Forgets a waiting request whose caller left.
+    pub fn cancel(&mut self, ticket: TicketId) {
+        self.waiting.retain(|work| work.ticket != ticket);
+    }
+
+    /// Records that a request left a runner, and returns what goes on.
+    pub fn ended(&mut self, now: Instant, id: &RunnerId, status: RunnerStatus) -> Vec<Wake> {
+        if status == RunnerStatus::Served {
+            self.count_end(now);
+        }
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.in_flight = runner.in_flight.saturating_sub(1);
+            match status {
+                RunnerStatus::Served => runner.failures = 0,
+                RunnerStatus::Abandoned => {}
+                RunnerStatus::Busy => runner.absent_until = Some(now + FIRST_ABSENCE / 4),
+                RunnerStatus::Failed => {
+                    runner.failures += 1;
+                    if runner.failures >= FAILURES_BEFORE_ABSENCE {
+                        let doubled = (runner.failures - FAILURES_BEFORE_ABSENCE).min(4);
+                        let absence = (FIRST_ABSENCE * 2u32.pow(doubled)).min(LONGEST_ABSENCE);
+                        runner.absent_until = Some(now + absence);
+                    }
+                }
+                RunnerStatus::Replaced => runner.absent_until = Some(now + LONGEST_ABSENCE),
+            }
+            if runner.gone && runner.in_flight == 0 {
+                self.runners.remove(id);
+            }
+        }
+        self.wake(now)
+    }
+
+    /// Lets waiting requests go on, and turns away those that wait in vain.
+    pub fn wake(&mut self, now: Instant) -> Vec<Wake> {
+        let mut wakes = Vec::new();
+        let mut at = 0;
+        while at < self.waiting.len() {
+            let work = self.waiting[at].clone();
+            if let Some(candidate) = self.choose(now, &work) {
+                self.waiting.remove(at);
+                wakes.push(Wake {
+                    ticket: work.ticket,
+                    admission: Admission::Run(candidate),
+                });
+            } else if now >= self.latest_start(&work) {
+                self.waiting.remove(at);
+                wakes.push(Wake {
+                    ticket: work.ticket,
+                    admission: self.refuse(),
+                });
+            } else {
+                at += 1;
+            }
+        }
+        wakes
+    }
+
+    fn choose(&mut self, now: Instant, work: &Work) -> Option<Candidate> {
+        self.turn = self.turn.wrapping_add(1);
+        let count = self.runners.len().max(1) as u64;
+        let start = (self.turn % count) as usize;
+        let best = self
+            .runners
+            .values()
+            .enumerate()
+            .filter(|(_, runner)| runner.takes_work(now))
+            .filter(|(_, runner)| runner.in_flight < self.limits.per_runner)
+            .filter(|(_, runner)| !work.excluded.contains(&runner.listed.id))
+            .map(|(at, runner)| {
+                let order = (at + count as usize - start) % count as usize;
+                (self.cost(now, runner), order, &runner.listed.id)
+            })
+            .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
+            .map(|(_, _, id)| id.clone())?;
+        let runner = self.runners.get_mut(&best)?;
+        runner.in_flight += 1;
+        Some(Candidate {
+            runner: runner.listed.clone(),
+        })
+    }
+
+    /// Returns how loaded a runner is, as requests at it for each slot.
+    fn cost(&self, now: Instant, runner: &Runner) -> f64 {
+        let own = f64::from(runner.in_flight);
+        let reported = runner
+            .fresh_report(now)
+            .map_or(0.0, |report| f64::from(report.running + report.waiting));
+        let slots = f64::from(runner.listed.slots.max(1));
+        let far = if runner.listed.place == self.place {
+            0.0
+        } else {
+            FAR_PENALTY
+        };
+        let cold = if runner.listed.cold.is_zero() {
+            0.0
+        } else {
+            0.5
+        };
+        let failed = f64::from(runner.failures);
+        own.max(reported) / slots + own / slots + far / slots + cold + failed
+    }
+
+    fn latest_start(&self, work: &Work) -> Instant {
+        work.deadline
+    }
+
+    fn may_wait(&self, now: Instant, work: &Work) -> bool {
+        if self.waiting.len() >= self.limits.waiting {
+            return false;
+        }
+        let left = work.deadline.saturating_duration_since(now);
+        self.expected_wait() <= left.mul_f64(self.limits.wait_share)
+    }
+
+    fn expected_wait(&self) -> Duration {
+        let ahead = self.waiting.len() as f64;
+        if self.rate <= 0.0 || ahead == 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64((ahead / self.rate).min(RETRY_AFTER_MAX.as_secs_f64() * 10.0))
+    }
+
+    fn refuse(&self) -> Admission {
+        let retry_after = self.expected_wait().clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+        Admission::Refuse { retry_after }
+    }
+
+    fn count_end(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.rate_at).as_secs_f64();
+        self.rate_at = now;
+        let window = RATE_WINDOW.as_secs_f64();
+        self.rate = self.rate * (-passed / window).exp() + 1.0 / window;
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -26,16 +26,18 @@
     /// Runs an entry, which takes requests from callers
     #[bpaf(command)]
     Entry {
-        /// Settings file of the process
-        #[bpaf(argument("FILE"))]
-        config: PathBuf,
+        /// Settings file of the process; without it the platform that hosts
+        /// the process says where its settings are
+        #[bpaf(argument("FILE"), optional)]
+        config: Option<PathBuf>,
     },
     /// Runs an agent, which stands beside an endpoint
     #[bpaf(command)]
     Agent {
-        /// Settings file of the process
-        #[bpaf(argument("FILE"))]
-        config: PathBuf,
+        /// Settings file of the process; without it the platform that hosts
+        /// the process says where its settings are
+        #[bpaf(argument("FILE"), optional)]
+        config: Option<PathBuf>,
     },
     /// Checks a settings file
     #[bpaf(command)]
@@ -156,7 +158,7 @@
 /// Runs the command line of this process.
 pub fn run() -> ExitCode {
     let command = command().run();
-    let runtime = match tokio::runtime::Runtime::new() {
+    let runtime = match runtime_for(&command) {
         Ok(runtime) => runtime,
         Err(e) => {
             eprintln!("cannot start: {e}");
@@ -173,10 +175,24 @@
     }
 }
 
+/// Hosted processes have a part of one core, so one thread serves best.
+fn runtime_for(command: &Command) -> std::io::Result<tokio::runtime::Runtime> {
+    match command {
+        Command::Entry { config: None } | Command::Agent { config: None } => {
+            tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+        }
+        _ => tokio::runtime::Runtime::new(),
+    }
+}
+
 async fn execute(command: Command) -> Result<bool> {
     match command {
-        Command::Entry { config } => command::run::entry(&config).await?,
-        Command::Agent { config } => command::run::agent(&config).await?,
+        Command::Entry { config: Some(file) } => command::run::entry(&file).await?,
+        Command::Agent { config: Some(file) } => command::run::agent(&file).await?,
+        Command::Entry { config: None } => command::hosted::entry().await?,
+        Command::Agent { config: None } => command::hosted::agent().await?,
         Command::Check { file } => command::check::run(&file)?,
         Command::Ticket(command) => return execute_ticket(command).await,
         Command::Status { access, json } => {
--- a/src/command.rs
+++ b/src/command.rs
@@ -3,6 +3,7 @@
 pub mod check;
 #[cfg(feature = "dev")]
 pub mod dev;
+pub mod hosted;
 mod operator;
 mod output;
 pub mod run;
--- /dev/null
+++ b/src/command/hosted.rs
@@ -0,0 +1,116 @@
+//! `entry` and `agent` on a platform that hosts them and writes their settings.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use serde_json::json;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio_util::sync::CancellationToken;
+use wisteriawick_core::hosting::HostSettings;
+use wisteriawick_core::time::SharedClock;
+use wisteriawick_core::time::SystemClock;
+use wisteriawick_platform::SETTINGS_VARIABLE;
+use wisteriawick_platform::read_settings;
+
+use crate::command::run::stop_signal;
+use crate::error::Error;
+use crate::error::Result;
+use crate::eventlog::EventLog;
+use crate::eventlog::Weight;
+use crate::gateway;
+use crate::rank;
+
+/// What a hosted process starts with.
+struct Start {
+    settings: HostSettings,
+    clock: SharedClock,
+    log: EventLog,
+    stop: CancellationToken,
+}
+
+/// Runs an entry.
+///
+/// # Errors
+///
+/// Fails when it cannot start.
+pub async fn entry() -> Result<()> {
+    let start = start()?;
+    gateway::run(start.settings, start.clock, start.log, start.stop).await
+}
+
+/// Runs an agent.
+///
+/// # Errors
+///
+/// Fails when it cannot start.
+pub async fn agent() -> Result<()> {
+    let start = start()?;
+    rank::run(start.settings, start.clock, start.log, start.stop).await
+}
+
+fn start() -> Result<Start> {
+    let path = settings_path()?;
+    let settings = read_settings(&path).map_err(|e| Error::Other(e.to_string()))?;
+    let clock: SharedClock = Arc::new(SystemClock);
+    let log = EventLog::start(settings.name.as_str(), Arc::clone(&clock));
+    let stop = CancellationToken::new();
+    tokio::spawn(stop_on_signal(stop.clone(), log.clone()));
+    tokio::spawn(check_on_reload(path, settings.clone(), log.clone()));
+    Ok(Start {
+        settings,
+        clock,
+        log,
+        stop,
+    })
+}
+
+fn settings_path() -> Result<PathBuf> {
+    std::env::var_os(SETTINGS_VARIABLE)
+        .map(PathBuf::from)
+        .ok_or_else(|| {
+            let problem = format!("no settings; state --config FILE or set {SETTINGS_VARIABLE}");
+            Error::Other(problem)
+        })
+}
+
+async fn stop_on_signal(stop: CancellationToken, log: EventLog) {
+    if let Err(e) = stop_signal().await {
+        log.line(
+            Weight::Failure,
+            "no_signals",
+            json!({"error": e.to_string()}),
+        );
+        return;
+    }
+    log.line(Weight::State, "stop_asked", json!({}));
+    stop.cancel();
+}
+
+/// Reads the settings again on a hang-up and says what that means. What a
+/// process is bound to stays until its next start; a change of that is logged.
+async fn check_on_reload(path: PathBuf, running: HostSettings, log: EventLog) {
+    let Ok(mut hang_ups) = signal(SignalKind::hangup()) else {
+        log.line(Weight::Failure, "no_signals", json!({}));
+        return;
+    };
+    while hang_ups.recv().await.is_some() {
+        match read_settings(&path) {
+            Ok(read) if read == running => {
+                log.line(Weight::State, "reloaded", json!({"changed": false}));
+            }
+            Ok(_) => log.line(
+                Weight::State,
+                "reloaded",
+                json!({"changed": true, "in_force": "at the next start"}),
+            ),
+            Err(e) => {
+                log.line(
+                    Weight::Failure,
+                    "reload_failed",
+                    json!({"error": e.to_string()}),
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/answer.rs
@@ -0,0 +1,46 @@
+//! Answers to callers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::combinators::UnsyncBoxBody;
+use wisteriawick_platform::not_run_answer;
+
+/// The body of an answer; an error breaks the connection off, so that a cut
+/// answer never looks whole.
+pub(crate) type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// Returns a body in one piece.
+pub(crate) fn whole(bytes: Bytes) -> Body {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// Returns an answer with a status and headers.
+pub(crate) fn answer(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
+    let mut res = Response::new(body);
+    *res.status_mut() = status;
+    *res.headers_mut() = headers;
+    res
+}
+
+/// Returns an answer of the gateway's own, which no runner signed.
+pub(crate) fn own(
+    request_id: &str,
+    status: StatusCode,
+    retry_after: Option<Duration>,
+    reason: &'static str,
+) -> Response<Body> {
+    let headers = not_run_answer(request_id, retry_after);
+    answer(
+        status,
+        headers,
+        whole(Bytes::from_static(reason.as_bytes())),
+    )
+}
--- /dev/null
+++ b/src/gateway/hub.rs
@@ -0,0 +1,301 @@
+//! What the tasks of a gateway share: the cores, each behind a lock.
+//!
+//! Every holder of a lock runs a core and lets go; none awaits. A message to
+//! an owning task would cost two wake-ups for each request.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+use wisteriawick_core::collections::HashMap;
+use wisteriawick_core::gateway::Admission;
+use wisteriawick_core::gateway::Declaration;
+use wisteriawick_core::gateway::Latest;
+use wisteriawick_core::gateway::Pool;
+use wisteriawick_core::gateway::PoolLimits;
+use wisteriawick_core::gateway::RepeatBudget;
+use wisteriawick_core::gateway::Roster;
+use wisteriawick_core::gateway::RunnerStatus;
+use wisteriawick_core::gateway::ServiceTarget;
+use wisteriawick_core::gateway::Strikes;
+use wisteriawick_core::gateway::TicketId;
+use wisteriawick_core::gateway::Wake;
+use wisteriawick_core::gateway::Work;
+use wisteriawick_core::hosting::HostSettings;
+use wisteriawick_core::ids::RunnerId;
+use wisteriawick_core::ids::ServiceId;
+use wisteriawick_core::time::SharedClock;
+use wisteriawick_platform::Store;
+
+use crate::eventlog::EventLog;
+use crate::gateway::upstream::Upstreams;
+
+/// Entries among which a service's slots and retry budget are divided. A few
+/// entries stand before a service; one that is not there leaves its part unused.
+const ENTRIES: usize = 4;
+/// Time between two looks at what waits, for runners that come back.
+const HOUSEKEEPING: Duration = Duration::from_millis(100);
+/// Requests that wait for one service at most.
+const MAX_WAITING: usize = 256;
+/// Share of its remaining time that a request may wait for a runner.
+const WAIT_SHARE: f64 = 0.5;
+
+/// State of one service.
+#[derive(Debug)]
+pub(crate) struct ServiceState {
+    pub(crate) pool: Pool,
+    pub(crate) budget: RepeatBudget,
+    waiters: HashMap<TicketId, oneshot::Sender<Admission>>,
+}
+
+/// What the tasks share.
+#[derive(Debug)]
+pub(crate) struct Hub {
+    pub(crate) settings: HostSettings,
+    pub(crate) clock: SharedClock,
+    pub(crate) log: EventLog,
+    pub(crate) store: Store,
+    pub(crate) upstreams: Upstreams,
+    latest: Mutex<Latest>,
+    pub(crate) roster: Mutex<Roster>,
+    services: Mutex<HashMap<ServiceId, ServiceState>>,
+    pub(crate) strikes: Mutex<Strikes>,
+    rng: Mutex<SmallRng>,
+    next_ticket: AtomicU64,
+    has_roster: AtomicBool,
+    is_stopping: AtomicBool,
+}
+
+/// A request's place: at a runner, or in the queue.
+#[derive(Debug)]
+pub(crate) enum Placed {
+    /// It was placed or refused at once.
+    Now(Admission),
+    /// It waits.
+    Later(TicketId, oneshot::Receiver<Admission>),
+}
+
+impl Hub {
+    pub(crate) fn new(settings: HostSettings, clock: SharedClock, log: EventLog) -> Self {
+        let seed = settings.name.as_str().bytes().fold(
+            clock
+                .wall()
+                .elapsed()
+                .map_or(1, |age| age.as_nanos() as u64),
+            |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()),
+        );
+        Self {
+            store: Store::new(settings.store),
+            upstreams: Upstreams::default(),
+            latest: Mutex::default(),
+            roster: Mutex::default(),
+            services: Mutex::default(),
+            strikes: Mutex::default(),
+            rng: Mutex::new(SmallRng::seed_from_u64(seed)),
+            next_ticket: AtomicU64::new(1),
+            has_roster: AtomicBool::new(false),
+            is_stopping: AtomicBool::new(false),
+            settings,
+            clock,
+            log,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Returns a number from zero to below one.
+    pub(crate) fn draw(&self) -> f64 {
+        lock(&self.rng).random::<f64>()
+    }
+
+    pub(crate) fn declaration(&self) -> Option<Arc<Declaration>> {
+        lock(&self.latest).get().cloned()
+    }
+
+    /// Takes a declaration; returns whether it is now in force.
+    pub(crate) fn offer(&self, declaration: Declaration) -> bool {
+        if !lock(&self.latest).offer(declaration) {
+            return false;
+        }
+        self.refresh_services();
+        true
+    }
+
+    /// Brings the pools up to date with the declaration and the roster.
+    pub(crate) fn refresh_services(&self) {
+        let Some(declaration) = self.declaration() else {
+            return;
+        };
+        let now = self.now();
+        let roster = lock(&self.roster);
+        let mut services = lock(&self.services);
+        for target in declaration.services() {
+            let limits = pool_limits(target);
+            let state = services
+                .entry(target.id.clone())
+                .or_insert_with(|| self.new_service(now, limits));
+            state.pool.set_limits(limits);
+            state.pool.set_runners(roster.of_service(&target.id));
+            let wakes = state.pool.wake(now);
+            state.deliver(now, wakes);
+        }
+    }
+
+    fn new_service(&self, now: Instant, limits: PoolLimits) -> ServiceState {
+        let bounds = &self.settings.bounds;
+        ServiceState {
+            pool: Pool::new(now, self.settings.place.clone(), limits),
+            budget: RepeatBudget::new(
+                bounds.repeat_ratio,
+                bounds.repeat_extra,
+                ENTRIES,
+                bounds.repeat_window,
+            ),
+            waiters: HashMap::default(),
+        }
+    }
+
+    pub(crate) fn set_has_roster(&self) {
+        self.has_roster.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether callers should come here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping()
+            && self.has_roster.load(Ordering::Relaxed)
+            && self.declaration().is_some()
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_stopping(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn next_ticket(&self) -> TicketId {
+        TicketId(self.next_ticket.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Runs something on a service's state; `None` for an unknown service.
+    pub(crate) fn with_service<T>(
+        &self,
+        service: &ServiceId,
+        run: impl FnOnce(&mut ServiceState) -> T,
+    ) -> Option<T> {
+        lock(&self.services).get_mut(service).map(run)
+    }
+
+    /// Places a request or lets it wait.
+    pub(crate) fn place(&self, service: &ServiceId, work: Work) -> Option<Placed> {
+        let now = self.now();
+        self.with_service(service, |state| {
+            let ticket = work.ticket;
+            match state.pool.admit(now, work) {
+                Admission::Wait => {
+                    let (tx, rx) = oneshot::channel();
+                    state.waiters.insert(ticket, tx);
+                    Placed::Later(ticket, rx)
+                }
+                admission => Placed::Now(admission),
+            }
+        })
+    }
+
+    /// Forgets a request that waits.
+    pub(crate) fn cancel(&self, service: &ServiceId, ticket: TicketId) {
+        self.with_service(service, |state| {
+            state.pool.cancel(ticket);
+            state.waiters.remove(&ticket);
+        });
+    }
+
+    /// Records that a request left a runner.
+    pub(crate) fn ended(&self, service: &ServiceId, runner: &RunnerId, status: RunnerStatus) {
+        let now = self.now();
+        self.with_service(service, |state| {
+            let wakes = state.pool.ended(now, runner, status);
+            state.deliver(now, wakes);
+        });
+    }
+
+    fn wake_all(&self) {
+        let now = self.now();
+        for state in lock(&self.services).values_mut() {
+            if state.waiters.is_empty() {
+                continue;
+            }
+            let wakes = state.pool.wake(now);
+            state.deliver(now, wakes);
+        }
+    }
+}
+
+impl ServiceState {
+    /// Tells waiting requests how they go on. What cannot be told, because its
+    /// caller left, frees its place for the next one.
+    fn deliver(&mut self, now: Instant, mut wakes: Vec<Wake>) {
+        while let Some(wake) = wakes.pop() {
+            let undelivered = match self.waiters.remove(&wake.ticket) {
+                Some(tx) => tx.send(wake.admission).err(),
+                None => Some(wake.admission),
+            };
+            if let Some(Admission::Run(candidate)) = undelivered {
+                let freed = self
+                    .pool
+                    .ended(now, &candidate.runner.id, RunnerStatus::Abandoned);
+                wakes.extend(freed);
+            }
+        }
+    }
+}
+
+fn pool_limits(target: &ServiceTarget) -> PoolLimits {
+    let per_runner = match &target.engine {
+        Some(engine) => (engine.slots as usize).div_ceil(ENTRIES) as u32,
+        None => PLAIN_PER_RUNNER,
+    };
+    PoolLimits {
+        per_runner,
+        waiting: MAX_WAITING,
+        wait_share: WAIT_SHARE,
+    }
+}
+
+/// Requests of one entry at a runner of a plain service: what runs and a few
+/// that it queues itself.
+const PLAIN_PER_RUNNER: u32 = 4;
+
+/// Lets waiting requests go on when runners come back or their time is over.
+pub(crate) async fn keep_house(hub: Arc<Hub>, end: CancellationToken) {
+    let mut ticks = tokio::time::interval(HOUSEKEEPING);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = end.cancelled() => return,
+        }
+        let expired = lock(&hub.roster).expire(hub.now());
+        if expired > 0 {
+            hub.refresh_services();
+        }
+        hub.wake_all();
+        hub.upstreams.close_idle(hub.now());
+    }
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder panics")
+}
--- /dev/null
+++ b/src/gateway/listen.rs
@@ -0,0 +1,192 @@
+//! Listens for callers and for the balancer, and stops without cutting off.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONNECTION;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use wisteriawick_platform::READINESS_PATH;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::eventlog::Weight;
+use crate::gateway::answer::Body;
+use crate::gateway::answer::answer;
+use crate::gateway::answer::whole;
+use crate::gateway::exchange;
+use crate::gateway::hub::Hub;
+use crate::gateway::upstream::notice_silence;
+
+/// Connections that wait to be accepted; a full queue costs callers seconds.
+const BACKLOG: u32 = 1024;
+/// How long new connections are taken after a request to stop. The balancer
+/// asks every second and needs two misses.
+const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_500);
+/// Time before the end of the grace at which what is left is cut off.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+/// Factor on the declared idle time after which a connection is closed, so
+/// that callers who go by the declared time never meet the close.
+const IDLE_FACTOR: u32 = 2;
+/// Idle time before there is a declaration.
+const IDLE_UNDECLARED: Duration = Duration::from_secs(30);
+/// Least buffer for a request's head that hyper takes, in bytes.
+const MIN_HEAD_BUFFER: usize = 8 * 1024;
+/// Pause after a failed accept, which is mostly a lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Binds an address.
+///
+/// # Errors
+///
+/// Fails when it is taken or not this machine's.
+pub(crate) async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let failed = |e: std::io::Error| Error::Other(format!("{address}: {e}; free the address"));
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }
+    .map_err(failed)?;
+    socket.set_reuseaddr(true).map_err(failed)?;
+    socket.bind(address).map_err(failed)?;
+    socket.listen(BACKLOG).map_err(failed)
+}
+
+/// Takes callers until `stop`, then finishes what is open.
+pub(crate) async fn serve_callers(listener: TcpListener, hub: Arc<Hub>, stop: CancellationToken) {
+    let tracker = TaskTracker::new();
+    // Cancelled when connections must finish and close.
+    let finish = CancellationToken::new();
+    accept_until(&listener, &hub, &tracker, &finish, stop.cancelled()).await;
+    hub.set_stopping();
+    let grace = hub.settings.bounds.grace;
+    hub.log.line(
+        Weight::State,
+        "stopping",
+        json!({"connections": tracker.len(), "grace_ms": grace.as_millis() as u64}),
+    );
+    let end = tokio::time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
+    let closing = tokio::time::sleep(ACCEPT_AFTER_STOP.min(grace / 2));
+    accept_until(&listener, &hub, &tracker, &finish, closing).await;
+    drop(listener);
+    finish.cancel();
+    tracker.close();
+    if tokio::time::timeout_at(end, tracker.wait()).await.is_err() {
+        let fields = json!({"connections": tracker.len()});
+        hub.log
+            .line(Weight::Failure, "cut_off_at_end_of_grace", fields);
+    }
+}
+
+async fn accept_until(
+    listener: &TcpListener,
+    hub: &Arc<Hub>,
+    tracker: &TaskTracker,
+    finish: &CancellationToken,
+    until: impl Future<Output = ()>,
+) {
+    tokio::pin!(until);
+    loop {
+        tokio::select! {
+            () = &mut until => return,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    tracker.spawn(serve_connection(stream, Arc::clone(hub), finish.clone()));
+                }
+                Err(e) => {
+                    let fields = json!({"error": e.to_string()});
+                    hub.log.line(Weight::Failure, "accept_failed", fields);
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, hub: Arc<Hub>, finish: CancellationToken) {
+    if notice_silence(&stream).is_err() {
+        return; // The caller is gone already.
+    }
+    let limits = hub.declaration().map(|declaration| declaration.limits());
+    let idle = limits.map_or(IDLE_UNDECLARED, |limits| limits.idle_time * IDLE_FACTOR);
+    let head = limits.map_or(MIN_HEAD_BUFFER, |limits| limits.head_bytes);
+    let service = service_fn(move |req| {
+        let hub = Arc::clone(&hub);
+        async move { Ok::<_, Infallible>(serve_request(hub, req).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(head.max(MIN_HEAD_BUFFER) * 2)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        // What the caller did wrong is of no use to others.
+        _ = connection.as_mut() => return,
+        () = finish.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+async fn serve_request(hub: Arc<Hub>, req: Request<Incoming>) -> Response<Body> {
+    let stopping = hub.is_stopping();
+    let mut res = exchange::serve(hub, req).await;
+    if stopping {
+        let close = HeaderValue::from_static("close");
+        res.headers_mut().insert(CONNECTION, close);
+    }
+    res
+}
+
+/// Tells the balancer whether callers should come.
+pub(crate) async fn serve_readiness(listener: TcpListener, hub: Arc<Hub>, end: CancellationToken) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = end.cancelled() => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let hub = Arc::clone(&hub);
+        let end = end.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |req: Request<Incoming>| {
+                let res = readiness(&hub, req.uri().path());
+                async move { Ok::<_, Infallible>(res) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            tokio::select! {
+                _ = connection => {}
+                () = end.cancelled() => {}
+            }
+        });
+    }
+}
+
+fn readiness(hub: &Hub, path: &str) -> Response<Body> {
+    let status = match path {
+        READINESS_PATH if hub.is_ready() => StatusCode::OK,
+        READINESS_PATH => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::NOT_FOUND,
+    };
+    answer(status, HeaderMap::new(), whole(Bytes::new()))
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,171 @@
+//! Passes a stream on, and goes on at another runner when one is lost.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use serde_json::json;
+use wisteriawick_core::gateway::AttemptOutcome;
+use wisteriawick_core::gateway::NextStep;
+use wisteriawick_core::gateway::Repeat;
+use wisteriawick_core::gateway::RequestPlan;
+use wisteriawick_core::gateway::RunnerStatus;
+
+use crate::eventlog::Weight;
+use crate::gateway::answer::Body;
+use crate::gateway::answer::answer as respond;
+use crate::gateway::attempt;
+use crate::gateway::attempt::Ended;
+use crate::gateway::attempt::OpenStream;
+use crate::gateway::attempt::Opened;
+use crate::gateway::attempt::Source;
+use crate::gateway::exchange::Exchange;
+use crate::gateway::exchange::Try;
+use crate::gateway::exchange::next_step;
+use crate::gateway::exchange::place;
+use crate::gateway::hub::lock;
+
+/// Time without an event after which a stream goes on elsewhere, while its
+/// caller is still there: callers leave after two seconds.
+const EVENT_PATIENCE: Duration = Duration::from_millis(1_200);
+
+/// A stream on its way to the caller.
+struct Relay {
+    exchange: Arc<Exchange>,
+    tried: Try,
+    /// `None` after the end.
+    source: Option<Source>,
+    events: u64,
+}
+
+/// Returns the answer that passes a stream on.
+pub(crate) fn answer(
+    exchange: Arc<Exchange>,
+    plan: RequestPlan,
+    stream: OpenStream,
+) -> Response<Body> {
+    let fields = json!({"runner": stream.source.slot.runner.id.as_str()});
+    exchange.log(Weight::Routine, "stream_began", fields);
+    let relay = Relay {
+        exchange,
+        tried: Try {
+            plan,
+            excluded: Vec::new(),
+            is_sent: true,
+        },
+        source: Some(stream.source),
+        events: 0,
+    };
+    let events = stream::unfold(relay, |mut relay| async move {
+        let event = relay.next().await?;
+        Some((event.map(Frame::data), relay))
+    });
+    respond(
+        stream.status,
+        stream.headers,
+        StreamBody::new(events).boxed_unsync(),
+    )
+}
+
+impl Relay {
+    /// Returns the next event; `None` at the end of the stream.
+    async fn next(&mut self) -> Option<std::io::Result<Bytes>> {
+        let deadline = self.exchange.deadline;
+        let next = self.next_or_resume();
+        match tokio::time::timeout_at(deadline.into(), next).await {
+            Ok(event) => event,
+            Err(_) => {
+                self.exchange
+                    .log(Weight::Failure, "timed_out", json!({"events": self.events}));
+                self.source = None;
+                Some(Err(std::io::ErrorKind::TimedOut.into()))
+            }
+        }
+    }
+
+    async fn next_or_resume(&mut self) -> Option<std::io::Result<Bytes>> {
+        loop {
+            let source = self.source.as_mut()?;
+            match next_of(source).await {
+                Ok(Some(event)) => {
+                    self.events += 1;
+                    return Some(Ok(event));
+                }
+                Ok(None) => {
+                    self.finish();
+                    return None;
+                }
+                Err(detail) => {
+                    if !self.resume(detail).await {
+                        return Some(Err(std::io::ErrorKind::ConnectionAborted.into()));
+                    }
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self) {
+        let Some(mut source) = self.source.take() else {
+            return;
+        };
+        let hub = &self.exchange.hub;
+        source.slot.set_status(RunnerStatus::Served);
+        if !source.head.closes {
+            hub.upstreams
+                .keep(hub.now(), source.upstream, source.head.keeps_for);
+        }
+        lock(&hub.strikes).clear(self.exchange.fingerprint);
+        let fields = json!({"events": self.events, "runner": source.slot.runner.id.as_str()});
+        self.exchange.log(Weight::Routine, "stream_ended", fields);
+    }
+
+    /// Goes on at another runner after the last event; returns whether it did.
+    async fn resume(&mut self, detail: String) -> bool {
+        let Some(mut source) = self.source.take() else {
+            return false;
+        };
+        source.slot.set_status(RunnerStatus::Failed);
+        let last = source.check.last();
+        let mut runner = source.slot.runner.id.clone();
+        drop(source);
+        let mut ended = Ended::new(AttemptOutcome::Unknown, detail);
+        loop {
+            if self.exchange.permit.route.repeat != Repeat::Resume || last.is_none() {
+                return false;
+            }
+            let step = next_step(&self.exchange, &mut self.tried, &runner, &ended);
+            if step != NextStep::Again {
+                return false;
+            }
+            let Ok(slot) = place(&self.exchange, &self.tried).await else {
+                return false;
+            };
+            runner = slot.runner.id.clone();
+            match attempt::start(&self.exchange, slot, last).await {
+                Opened::Stream(stream) => {
+                    let fields = json!({"runner": runner.as_str(), "after": last});
+                    self.exchange.log(Weight::Failure, "resumed", fields);
+                    self.source = Some(stream.source);
+                    return true;
+                }
+                Opened::Whole(_) => return false,
+                Opened::Ended(next) => ended = next,
+            }
+        }
+    }
+}
+
+async fn next_of(source: &mut Source) -> Result<Option<Bytes>, String> {
+    if let Some(first) = source.first.take() {
+        return Ok(Some(first));
+    }
+    let next = attempt::next_event(&mut source.body, &mut source.splitter, &mut source.check);
+    tokio::time::timeout(EVENT_PATIENCE, next)
+        .await
+        .unwrap_or_else(|_| Err("no event in time".into()))
+}
