Change expert maps behind a hold, planned in small copies

The agent of rank 0 leads: counts every 200 ms, plans of at most three new experts a rank, a hold at its own runner, arms at all ranks, leave only when every rank's report shows the arm. Orders carry the group's life and the number of orders accepted, so late copies are void.

Ruled out for now: orders from the leader to each runner (priced), a lock in the store for the leader (rank 0 is one process by construction).

--- /dev/null
+++ b/crates/core/src/maps/held_switch.rs
@@ -0,0 +1,459 @@
+//! Changes a group's expert map at one pass, where orders get lost and are
+//! carried out late.
+//!
+//! Rank 0 holds a pass, all ranks are armed for it, and only when every rank's
+//! own report shows that does the pass get leave to begin. Armed ranks are
+//! never disarmed: once the first arm is out, the change is carried through,
+//! because an arm whose fate is unknown may still take effect until the pass
+//! begins, and none can after that. A hold that this core did not order is
+//! resolved the same way, whoever left it.
+//!
+//! It differs from [`Switch`](crate::maps::Switch), whose engines hold an
+//! armed pass by themselves and vote; here engines know nothing of each other.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::maps::rank::ExpertMap;
+use crate::maps::rank::MapNumber;
+use crate::maps::rank::RankOrder;
+use crate::maps::rank::RankView;
+
+/// Passes between the newest known one and the one at which maps change: the
+/// next pass may begin before the hold arrives.
+const NOTICE: u64 = 2;
+/// Time after which an order without visible effect is given again. An order
+/// and its report take a few milliseconds.
+const REPEAT: Duration = Duration::from_millis(40);
+/// Time after which copying is given up: several times the longest plan.
+const PREPARE_LIMIT: Duration = Duration::from_secs(6);
+/// Rank whose engine holds the pass; its agent leads.
+const HOLDER: usize = 0;
+
+/// What the core is told.
+#[derive(Clone, Debug)]
+pub enum HeldInput {
+    /// A rank's state.
+    View(usize, RankView),
+    /// A rank's state is not known any more.
+    Lost(usize),
+    /// A new map is wanted; ignored unless the core is idle.
+    Propose(MapNumber, Arc<ExpertMap>),
+    /// Time passed.
+    Tick,
+}
+
+/// What the core wants done, or tells.
+#[derive(Clone, Debug, PartialEq)]
+pub enum HeldOutput {
+    /// Give a rank an order that is void in any other life of the group.
+    Order {
+        /// The rank.
+        rank: usize,
+        /// Life of the group.
+        epoch: u64,
+        /// The order.
+        order: RankOrder,
+    },
+    /// All ranks use a map.
+    Switched {
+        /// The map.
+        number: MapNumber,
+        /// Time that the group may have been held.
+        held: Duration,
+    },
+    /// A change was given up before any rank was armed.
+    GaveUp {
+        /// The map.
+        number: MapNumber,
+        /// Why.
+        reason: &'static str,
+    },
+    /// A hold of an earlier leader was found.
+    FoundHold {
+        /// The pass.
+        pass: u64,
+        /// The map that ranks are armed for, if the change goes on.
+        number: Option<MapNumber>,
+    },
+}
+
+#[derive(Clone, Debug)]
+enum Phase {
+    Idle,
+    Preparing {
+        number: MapNumber,
+        map: Arc<ExpertMap>,
+        since: Instant,
+    },
+    Holding {
+        number: MapNumber,
+        pass: u64,
+    },
+    Arming {
+        number: MapNumber,
+        pass: u64,
+        since: Instant,
+    },
+    Releasing {
+        number: Option<MapNumber>,
+        pass: u64,
+        since: Instant,
+    },
+    Settling {
+        number: MapNumber,
+        pass: u64,
+        held: Duration,
+    },
+}
+
+/// The leader's part of changing maps, for one group.
+#[derive(Debug)]
+pub struct HeldSwitch {
+    views: Vec<Option<RankView>>,
+    /// When each rank was given its last order, and which.
+    given: Vec<Option<(Instant, RankOrder)>>,
+    phase: Phase,
+    epoch: u64,
+}
+
+impl HeldSwitch {
+    /// Returns the core for a group of `size` ranks.
+    pub fn new(size: usize) -> Self {
+        Self {
+            views: vec![None; size],
+            given: vec![None; size],
+            phase: Phase::Idle,
+            epoch: 0,
+        }
+    }
+
+    /// Returns the map that all ranks use, when nothing is under way.
+    pub fn idle_map(&self) -> Option<(u64, MapNumber)> {
+        if !matches!(self.phase, Phase::Idle) {
+            return None;
+        }
+        let views = self.all_views()?;
+        let first = views.first()?;
+        let same = views
+            .iter()
+            .all(|view| view.map == first.map && view.armed.is_none() && view.held.is_none());
+        same.then_some((first.epoch, first.map))
+    }
+
+    /// Returns whether ranks may be armed or held, so that orders are urgent.
+    pub fn is_urgent(&self) -> bool {
+        !matches!(self.phase, Phase::Idle | Phase::Preparing { .. })
+    }
+
+    /// Takes an input and appends what has to be done.
+    pub fn handle(&mut self, now: Instant, input: HeldInput, out: &mut Vec<HeldOutput>) {
+        match input {
+            HeldInput::View(rank, view) => self.see(rank, view, out),
+            HeldInput::Lost(rank) => {
+                if let Some(view) = self.views.get_mut(rank) {
+                    *view = None;
+                }
+            }
+            HeldInput::Propose(number, map) => {
+                if self.idle_map().is_some() {
+                    self.phase = Phase::Preparing {
+                        number,
+                        map,
+                        since: now,
+                    };
+                }
+            }
+            HeldInput::Tick => {}
+        }
+        self.advance(now, out);
+    }
+
+    fn see(&mut self, rank: usize, view: RankView, out: &mut Vec<HeldOutput>) {
+        if rank >= self.views.len() {
+            return;
+        }
+        if view.epoch > self.epoch {
+            // A new life of the group has no copies, arms or holds.
+            self.epoch = view.epoch;
+            self.give_up("the group formed again", out);
+            self.given.fill(None);
+        }
+        if view.epoch == self.epoch {
+            self.views[rank] = Some(view);
+        } else {
+            self.views[rank] = None;
+        }
+    }
+
+    fn give_up(&mut self, reason: &'static str, out: &mut Vec<HeldOutput>) {
+        let number = match self.phase {
+            Phase::Idle => None,
+            Phase::Preparing { number, .. }
+            | Phase::Holding { number, .. }
+            | Phase::Arming { number, .. }
+            | Phase::Settling { number, .. } => Some(number),
+            Phase::Releasing { number, .. } => number,
+        };
+        self.phase = Phase::Idle;
+        if let Some(number) = number {
+            out.push(HeldOutput::GaveUp { number, reason });
+        }
+    }
+
+    /// Returns every rank's state, if all are known in this life of the group.
+    fn all_views(&self) -> Option<Vec<&RankView>> {
+        let views: Option<Vec<&RankView>> = self.views.iter().map(Option::as_ref).collect();
+        let views = views?;
+        let current = |view: &&RankView| view.epoch == self.epoch && view.is_open;
+        views.iter().all(current).then_some(views)
+    }
+
+    fn holder(&self) -> Option<&RankView> {
+        self.views[HOLDER]
+            .as_ref()
+            .filter(|view| view.epoch == self.epoch)
+    }
+
+    fn advance(&mut self, now: Instant, out: &mut Vec<HeldOutput>) {
+        // Each step may make the next one possible at once.
+        while self.step(now, out) {}
+    }
+
+    /// Does what the phase asks for; returns whether the phase changed.
+    fn step(&mut self, now: Instant, out: &mut Vec<HeldOutput>) -> bool {
+        match self.phase.clone() {
+            Phase::Idle => self.look_for_hold(now, out),
+            Phase::Preparing { number, map, since } => self.prepare(now, number, &map, since, out),
+            Phase::Holding { number, pass } => self.hold(now, number, pass, out),
+            Phase::Arming {
+                number,
+                pass,
+                since,
+            } => self.arm(now, number, pass, since, out),
+            Phase::Releasing {
+                number,
+                pass,
+                since,
+            } => self.release(now, number, pass, since, out),
+            Phase::Settling { number, pass, held } => self.settle(number, pass, held, out),
+        }
+    }
+
+    /// Resolves a hold that somebody else left.
+    fn look_for_hold(&mut self, now: Instant, out: &mut Vec<HeldOutput>) -> bool {
+        let Some(pass) = self.holder().and_then(|view| view.held) else {
+            return false;
+        };
+        let Some(views) = self.all_views() else {
+            return false;
+        };
+        let armed = views
+            .iter()
+            .find_map(|view| view.armed)
+            .filter(|(_, armed_pass)| *armed_pass == pass)
+            .map(|(number, _)| number);
+        // Ranks are armed only once all have copied the map. If all have, an
+        // arm may still be on its way, and the change must go on.
+        let prepared = views[HOLDER]
+            .prepared
+            .filter(|number| views.iter().all(|view| view.prepared == Some(*number)))
+            .filter(|number| views.iter().any(|view| view.map != *number));
+        let number = armed.or(prepared);
+        out.push(HeldOutput::FoundHold { pass, number });
+        self.phase = match number {
+            Some(number) => Phase::Arming {
+                number,
+                pass,
+                since: now,
+            },
+            None => Phase::Releasing {
+                number: None,
+                pass,
+                since: now,
+            },
+        };
+        true
+    }
+
+    fn prepare(
+        &mut self,
+        now: Instant,
+        number: MapNumber,
+        map: &Arc<ExpertMap>,
+        since: Instant,
+        out: &mut Vec<HeldOutput>,
+    ) -> bool {
+        if now.saturating_duration_since(since) > PREPARE_LIMIT {
+            self.give_up("the experts were not copied in time", out);
+            return true;
+        }
+        let order = RankOrder::Prepare {
+            number,
+            map: Arc::clone(map),
+        };
+        self.give_missing(now, &order, out);
+        let Some(views) = self.all_views() else {
+            return false;
+        };
+        if !views.iter().all(|view| view.prepared == Some(number)) {
+            return false;
+        }
+        let pass = self.next_pass();
+        self.phase = Phase::Holding { number, pass };
+        true
+    }
+
+    fn next_pass(&self) -> u64 {
+        let newest = self.views.iter().flatten().map(|view| view.pass).max();
+        newest.unwrap_or(0) + NOTICE
+    }
+
+    fn hold(
+        &mut self,
+        now: Instant,
+        number: MapNumber,
+        pass: u64,
+        out: &mut Vec<HeldOutput>,
+    ) -> bool {
+        let Some(view) = self.holder() else {
+            return false;
+        };
+        match view.held {
+            Some(held) if held == pass => {
+                // Without every rank the change could not be carried through.
+                self.phase = match self.all_views() {
+                    Some(_) => Phase::Arming {
+                        number,
+                        pass,
+                        since: now,
+                    },
+                    None => Phase::Releasing {
+                        number: None,
+                        pass,
+                        since: now,
+                    },
+                };
+                return true;
+            }
+            Some(held) => {
+                // A hold for another pass that came late; nothing is armed.
+                self.phase = Phase::Releasing {
+                    number: None,
+                    pass: held,
+                    since: now,
+                };
+                return true;
+            }
+            None => {}
+        }
+        if view.pass >= pass {
+            // The pass began before the hold came.
+            let pass = self.next_pass();
+            self.phase = Phase::Holding { number, pass };
+            return true;
+        }
+        self.give(now, HOLDER, RankOrder::Hold { pass }, out);
+        false
+    }
+
+    fn arm(
+        &mut self,
+        now: Instant,
+        number: MapNumber,
+        pass: u64,
+        since: Instant,
+        out: &mut Vec<HeldOutput>,
+    ) -> bool {
+        let order = RankOrder::Arm { number, pass };
+        self.give_missing(now, &order, out);
+        let Some(views) = self.all_views() else {
+            return false;
+        };
+        if !views.iter().all(|view| view.armed == Some((number, pass))) {
+            return false;
+        }
+        self.phase = Phase::Releasing {
+            number: Some(number),
+            pass,
+            since,
+        };
+        true
+    }
+
+    fn release(
+        &mut self,
+        now: Instant,
+        number: Option<MapNumber>,
+        pass: u64,
+        since: Instant,
+        out: &mut Vec<HeldOutput>,
+    ) -> bool {
+        let Some(view) = self.holder() else {
+            return false;
+        };
+        if view.held == Some(pass) {
+            self.give(now, HOLDER, RankOrder::Go { pass }, out);
+            return false;
+        }
+        let held = now.saturating_duration_since(since);
+        self.phase = match number {
+            Some(number) => Phase::Settling { number, pass, held },
+            None => Phase::Idle,
+        };
+        true
+    }
+
+    fn settle(
+        &mut self,
+        number: MapNumber,
+        pass: u64,
+        held: Duration,
+        out: &mut Vec<HeldOutput>,
+    ) -> bool {
+        let Some(views) = self.all_views() else {
+            return false;
+        };
+        if views.iter().all(|view| view.map == number) {
+            out.push(HeldOutput::Switched { number, held });
+            self.phase = Phase::Idle;
+            return true;
+        }
+        if views
+            .iter()
+            .all(|view| view.pass >= pass && view.armed.is_none())
+        {
+            self.give_up("the pass began with the former map", out);
+            return true;
+        }
+        false
+    }
+
+    fn give_missing(&mut self, now: Instant, order: &RankOrder, out: &mut Vec<HeldOutput>) {
+        for rank in 0..self.views.len() {
+            let missing = self.views[rank]
+                .as_ref()
+                .is_some_and(|view| !order.is_done(view));
+            if missing {
+                self.give(now, rank, order.clone(), out);
+            }
+        }
+    }
+
+    fn give(&mut self, now: Instant, rank: usize, order: RankOrder, out: &mut Vec<HeldOutput>) {
+        let given = &mut self.given[rank];
+        let repeated = given
+            .as_ref()
+            .is_some_and(|(at, last)| *last == order && now < *at + REPEAT);
+        if repeated {
+            return;
+        }
+        *given = Some((now, order.clone()));
+        out.push(HeldOutput::Order {
+            rank,
+            epoch: self.epoch,
+            order,
+        });
+    }
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -27,6 +27,9 @@
 use crate::eventlog::Weight;
 use crate::gateway::hub::Hub;
 
+pub(crate) use listen::bind;
+pub(crate) use upstream::notice_silence;
+
 /// Runs until `stop` is cancelled and all requests are finished or the time
 /// for that is over.
 ///
--- a/src/rank.rs
+++ b/src/rank.rs
@@ -1,13 +1,33 @@
-//! An agent beside a rank of a lock-step group.
+//! An agent beside a runner of a hosted service.
+//!
+//! It reads its own runner's state, which is fresh and free there, and is the
+//! only process that gives it orders in ordinary times. The agent of rank 0
+//! leads its group: it gathers counts, plans expert maps and changes them.
+//! It is not on the path of requests.
+
+mod api;
+mod counts;
+mod lead;
+mod link;
+mod member;
+mod peers;
+mod wire;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde_json::json;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::hosting::HostSettings;
 use wisteriawick_core::time::SharedClock;
 
+use crate::error::Error;
 use crate::error::Result;
 use crate::eventlog::EventLog;
 use crate::eventlog::Weight;
+use crate::gateway::bind;
+use crate::rank::lead::Lead;
+use crate::rank::member::Member;
 
 /// Runs until `stop` is cancelled.
 ///
@@ -16,16 +36,24 @@
 /// Fails when an address is missing or taken.
 pub async fn run(
     settings: HostSettings,
-    _clock: SharedClock,
+    clock: SharedClock,
     log: EventLog,
     stop: CancellationToken,
 ) -> Result<()> {
+    let runner = settings
+        .runner
+        .ok_or_else(|| Error::Other("settings: no runner beside this agent; fill it in".into()))?;
+    let listener = bind(SocketAddr::new(settings.ip, settings.link_ports.0)).await?;
     log.line(
         Weight::State,
         "started",
-        json!({"place": settings.place.as_str()}),
+        json!({"place": settings.place.as_str(), "runner": runner.to_string()}),
     );
-    stop.cancelled().await;
+    let (member, handle) = Member::new(runner, Arc::clone(&clock), log.clone());
+    tokio::spawn(member.run(stop.clone()));
+    tokio::spawn(link::serve(listener, handle.clone(), stop.clone()));
+    let lead = Lead::new(settings, clock, log.clone(), handle);
+    lead.run(stop).await;
     log.line(Weight::State, "stopped", json!({}));
     Ok(())
 }
--- /dev/null
+++ b/src/rank/api.rs
@@ -0,0 +1,72 @@
+//! Carries an order out at a rank whose answers get lost.
+
+use std::time::Duration;
+
+use wisteriawick_core::maps::RankOrder;
+use wisteriawick_platform::DecodeError;
+use wisteriawick_platform::EngineState;
+use wisteriawick_platform::OrderAnswer;
+use wisteriawick_platform::OrderContext;
+use wisteriawick_platform::RunnerApi;
+
+/// Longest wait for a runner's answer; it takes a millisecond or two.
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(60);
+/// Tries of one order before the leader is left to ask again.
+const TRIES: u32 = 6;
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OrderResult {
+    /// The rank's state shows it, or it was accepted.
+    Done,
+    /// The rank's state does not allow it.
+    Refused(u16),
+    /// Nothing is known after several tries.
+    Unknown,
+}
+
+/// Gives an order until the rank's own state shows it or refuses it. The state
+/// after each try goes to `seen`.
+///
+/// Each try expects the number of orders that the rank had accepted, so of all
+/// tries one at most takes effect, and a late copy of it none at all once a
+/// newer order was accepted.
+pub(crate) async fn carry_out(
+    api: &mut RunnerApi,
+    epoch: u64,
+    order: &RankOrder,
+    mut seen: impl FnMut(&EngineState),
+) -> Result<OrderResult, DecodeError> {
+    let mut state = api.state(CALL_TIMEOUT).await?;
+    for _ in 0..TRIES {
+        seen(&state);
+        let Some(rank) = state.rank.as_ref() else {
+            return Ok(OrderResult::Refused(0));
+        };
+        if rank.view.epoch != epoch {
+            return Ok(OrderResult::Refused(0));
+        }
+        if order.is_done(&rank.view) {
+            return Ok(OrderResult::Done);
+        }
+        let context = OrderContext {
+            epoch,
+            orders: state.orders,
+        };
+        let answer = api.order(order, context, CALL_TIMEOUT).await;
+        let before = state.orders;
+        state = api.state(CALL_TIMEOUT).await?;
+        match answer {
+            OrderAnswer::Accepted => {
+                seen(&state);
+                return Ok(OrderResult::Done);
+            }
+            OrderAnswer::Refused(status) if state.orders == before => {
+                seen(&state);
+                return Ok(OrderResult::Refused(status));
+            }
+            OrderAnswer::Refused(_) | OrderAnswer::Unknown => {}
+        }
+    }
+    Ok(OrderResult::Unknown)
+}
--- /dev/null
+++ b/src/rank/lead.rs
@@ -0,0 +1,463 @@
+//! The leader of a group: the agent of rank 0 gathers, plans and switches.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use wisteriawick_core::collections::HashMap;
+use wisteriawick_core::gateway::ExpertLayout;
+use wisteriawick_core::hosting::HostSettings;
+use wisteriawick_core::maps::CopyBounds;
+use wisteriawick_core::maps::ExpertMap;
+use wisteriawick_core::maps::HeldInput;
+use wisteriawick_core::maps::HeldOutput;
+use wisteriawick_core::maps::HeldSwitch;
+use wisteriawick_core::maps::MapNumber;
+use wisteriawick_core::maps::RankOrder;
+use wisteriawick_core::maps::plan_copies;
+use wisteriawick_core::time::SharedClock;
+use wisteriawick_core::time::unix_millis;
+use wisteriawick_platform::Freshness;
+use wisteriawick_platform::RunnerApi;
+use wisteriawick_platform::Store;
+
+use crate::eventlog::EventLog;
+use crate::eventlog::Weight;
+use crate::rank::api::carry_out;
+use crate::rank::counts::CountWindow;
+use crate::rank::member::MemberHandle;
+use crate::rank::member::OwnRank;
+use crate::rank::peers::Dialer;
+use crate::rank::peers::PeerEvent;
+use crate::rank::wire::ExpertsWire;
+use crate::rank::wire::MemberMessage;
+use crate::rank::wire::OrderMessage;
+use crate::rank::wire::link_port;
+
+/// Time between two looks at whether a plan pays.
+const PLAN_EVERY: Duration = Duration::from_millis(100);
+/// Time between two steps of the switch without news.
+const TICK: Duration = Duration::from_millis(20);
+/// Time between two looks at who is there and how groups are shaped.
+const REFRESH_EVERY: Duration = Duration::from_secs(4);
+/// Longest wait for the store.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Copies that one rank takes for a plan at most: with 0.15 s each, a plan is
+/// in use within half a second.
+const COPIES_PER_RANK: usize = 3;
+/// Least share of the mean load that a copy must save to be made.
+const MIN_SAVING: f64 = 0.004;
+/// Least gain of a plan, as a part of the skew.
+const MIN_GAIN: f64 = 0.03;
+/// Least choices of experts in the window for a plan, for each expert of each
+/// set; fewer are noise.
+const MIN_CHOICES: f64 = 30.0;
+/// Messages of members that wait.
+const QUEUE: usize = 256;
+/// Bits of a map's number that are drawn, so that a leader that starts anew
+/// never gives a number twice.
+const DRAWN_BITS: u32 = 8;
+
+/// The task's state.
+pub(crate) struct Lead {
+    settings: HostSettings,
+    clock: SharedClock,
+    log: EventLog,
+    member: MemberHandle,
+    store: Store,
+    layout: Option<ExpertLayout>,
+}
+
+/// What is known while this agent leads a group.
+struct Reign {
+    group: String,
+    size: usize,
+    switch: HeldSwitch,
+    counts: CountWindow,
+    links: HashMap<usize, PeerLink>,
+    experts: Vec<Option<ExpertsWire>>,
+    dialers: HashMap<SocketAddr, CancellationToken>,
+    planned_at: Instant,
+    refreshed_at: Option<Instant>,
+    /// Runner addresses of ranks, also of those whose link is down.
+    runners: HashMap<usize, SocketAddr>,
+}
+
+struct PeerLink {
+    orders: mpsc::Sender<OrderMessage>,
+}
+
+impl Lead {
+    pub(crate) fn new(
+        settings: HostSettings,
+        clock: SharedClock,
+        log: EventLog,
+        member: MemberHandle,
+    ) -> Self {
+        Self {
+            store: Store::new(settings.store),
+            settings,
+            clock,
+            log,
+            member,
+            layout: None,
+        }
+    }
+
+    /// Leads whenever this agent's runner is rank 0.
+    pub(crate) async fn run(mut self, stop: CancellationToken) {
+        loop {
+            let own = self.member.own.borrow_and_update().clone();
+            if let Some(own) = own
+                && own.state.rank == 0
+                && own.state.size > 1
+            {
+                let fields = json!({"group": own.state.group, "size": own.state.size});
+                self.log.line(Weight::State, "leads", fields);
+                let until = stop.child_token();
+                self.reign(own, until.clone()).await;
+                until.cancel();
+            }
+            tokio::select! {
+                changed = self.member.own.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
+                () = stop.cancelled() => return,
+            }
+        }
+    }
+
+    /// Leads until this agent's rank changes or it stops.
+    async fn reign(&mut self, own: OwnRank, stop: CancellationToken) {
+        let (events_tx, mut events) = mpsc::channel(QUEUE);
+        let mut counts = self.member.counts();
+        let mut reign = Reign::new(&own, self.clock.now());
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        self.take_own(&mut reign, &own);
+        loop {
+            tokio::select! {
+                changed = self.member.own.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    let own = self.member.own.borrow_and_update().clone();
+                    match own {
+                        Some(own) if reign.is_of(&own) => self.take_own(&mut reign, &own),
+                        _ => return,
+                    }
+                }
+                event = events.recv() => {
+                    if let Some(event) = event {
+                        self.take_event(&mut reign, event);
+                    }
+                }
+                reading = counts.recv() => {
+                    if let Ok(reading) = reading {
+                        reign.counts.add(self.clock.now(), reading.chosen);
+                    }
+                }
+                _ = ticks.tick() => {
+                    self.feed(&mut reign, HeldInput::Tick);
+                    self.plan(&mut reign);
+                    self.refresh(&mut reign, &events_tx, &stop).await;
+                }
+                () = stop.cancelled() => return,
+            }
+        }
+    }
+
+    fn take_own(&self, reign: &mut Reign, own: &OwnRank) {
+        if let Some(experts) = &own.experts {
+            reign.experts[0] = Some(experts.clone());
+        }
+        self.feed(reign, HeldInput::View(0, own.state.view.clone()));
+    }
+
+    fn take_event(&self, reign: &mut Reign, event: PeerEvent) {
+        match event {
+            PeerEvent::Up {
+                rank,
+                runner,
+                orders,
+            } => {
+                reign.runners.insert(rank, runner);
+                reign.links.insert(rank, PeerLink { orders });
+            }
+            PeerEvent::Down { rank } => {
+                reign.links.remove(&rank);
+                self.feed(reign, HeldInput::Lost(rank));
+            }
+            PeerEvent::Message { rank, message } => match message {
+                MemberMessage::View(view) => {
+                    self.feed(reign, HeldInput::View(rank, view.into()));
+                }
+                MemberMessage::Experts(experts) => {
+                    if let Some(held) = reign.experts.get_mut(rank) {
+                        *held = Some(experts);
+                    }
+                }
+                MemberMessage::Counts(reading) => {
+                    reign.counts.add(self.clock.now(), reading.chosen);
+                }
+                MemberMessage::Place(_) => {}
+            },
+        }
+    }
+
+    /// Feeds the core and carries out what it wants.
+    fn feed(&self, reign: &mut Reign, input: HeldInput) {
+        let mut out = Vec::new();
+        reign.switch.handle(self.clock.now(), input, &mut out);
+        for output in out {
+            self.carry_out(reign, output);
+        }
+    }
+
+    fn carry_out(&self, reign: &mut Reign, output: HeldOutput) {
+        match output {
+            HeldOutput::Order { rank, epoch, order } => self.order(reign, rank, epoch, &order),
+            HeldOutput::Switched { number, held } => self.log.line(
+                Weight::State,
+                "map_switched",
+                json!({
+                    "group": reign.group,
+                    "map": number.0,
+                    "held_ms": held.as_micros() as f64 / 1000.0,
+                }),
+            ),
+            HeldOutput::GaveUp { number, reason } => self.log.line(
+                Weight::Failure,
+                "map_given_up",
+                json!({"group": reign.group, "map": number.0, "reason": reason}),
+            ),
+            HeldOutput::FoundHold { pass, number } => self.log.line(
+                Weight::Failure,
+                "hold_found",
+                json!({
+                    "group": reign.group,
+                    "pass": pass,
+                    "map": number.map(|number| number.0),
+                }),
+            ),
+        }
+    }
+
+    fn order(&self, reign: &mut Reign, rank: usize, epoch: u64, order: &RankOrder) {
+        let message = OrderMessage::new(epoch, order);
+        if rank == 0 {
+            // A full queue means that earlier orders are under way; the core
+            // gives this one again.
+            let _ = self.member.orders.try_send(message);
+            return;
+        }
+        match reign.links.get(&rank) {
+            Some(link) => {
+                let _ = link.orders.try_send(message);
+            }
+            None => self.order_directly(reign, rank, epoch, order),
+        }
+    }
+
+    /// Arms a rank whose agent is away, so that a held group goes on.
+    fn order_directly(&self, reign: &Reign, rank: usize, epoch: u64, order: &RankOrder) {
+        let Some(runner) = reign.runners.get(&rank).copied() else {
+            return;
+        };
+        if !matches!(order, RankOrder::Arm { .. }) {
+            return;
+        }
+        let order = order.clone();
+        let log = self.log.clone();
+        tokio::spawn(async move {
+            let mut api = RunnerApi::new(runner);
+            let done = carry_out(&mut api, epoch, &order, |_| {}).await;
+            let fields = json!({"rank": rank, "result": format!("{done:?}")});
+            log.line(Weight::Failure, "armed_without_agent", fields);
+        });
+    }
+
+    fn plan(&self, reign: &mut Reign) {
+        let now = self.clock.now();
+        if now.saturating_duration_since(reign.planned_at) < PLAN_EVERY {
+            return;
+        }
+        reign.planned_at = now;
+        let Some(layout) = self.layout else {
+            return;
+        };
+        let Some((epoch, number)) = reign.switch.idle_map() else {
+            return;
+        };
+        let Some(current) = reign.current_map(epoch, number) else {
+            return;
+        };
+        let Some(loads) = reign.counts.loads(now, layout.sets, layout.experts) else {
+            return;
+        };
+        let choices: f64 = loads.iter().flatten().sum();
+        if choices < MIN_CHOICES * (layout.sets * layout.experts) as f64 {
+            return;
+        }
+        let bounds = CopyBounds {
+            experts: layout.experts,
+            places: layout.places,
+            new_per_set: layout.spare,
+            new_per_rank: COPIES_PER_RANK,
+            min_saving: MIN_SAVING,
+        };
+        let Some(plan) = plan_copies(&current, &loads, &bounds) else {
+            return;
+        };
+        if plan.skew.0 - plan.skew.1 < MIN_GAIN {
+            return;
+        }
+        let next = self.next_number(number);
+        self.log.line(
+            Weight::State,
+            "map_planned",
+            json!({
+                "group": reign.group,
+                "map": next.0,
+                "from": number.0,
+                "skew": plan.skew.0,
+                "skew_after": plan.skew.1,
+                "copies": plan.copies,
+                "most_copies": plan.most_copies,
+                "choices": choices,
+                "took_us": (self.clock.now() - now).as_micros() as u64,
+            }),
+        );
+        self.feed(reign, HeldInput::Propose(next, plan.map));
+    }
+
+    /// Returns a number above all others, drawn so that none comes twice.
+    fn next_number(&self, current: MapNumber) -> MapNumber {
+        let millis = unix_millis(self.clock.wall());
+        let drawn = u64::from(rand::random::<u8>());
+        let number = (millis << DRAWN_BITS) | drawn;
+        MapNumber(number.max(current.0 + 1 + drawn))
+    }
+
+    /// Looks up the group's shape and its members' addresses.
+    async fn refresh(
+        &mut self,
+        reign: &mut Reign,
+        events: &mpsc::Sender<PeerEvent>,
+        stop: &CancellationToken,
+    ) {
+        let now = self.clock.now();
+        let due = reign
+            .refreshed_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= REFRESH_EVERY);
+        if !due || reign.switch.is_urgent() {
+            return;
+        }
+        reign.refreshed_at = Some(now);
+        if let Err(e) = self.read_store(reign, events, stop).await {
+            let fields = json!({"error": e.to_string()});
+            self.log.line(Weight::Failure, "store_lost", fields);
+        }
+    }
+
+    async fn read_store(
+        &mut self,
+        reign: &mut Reign,
+        events: &mpsc::Sender<PeerEvent>,
+        stop: &CancellationToken,
+    ) -> Result<(), wisteriawick_platform::StoreError> {
+        if self.layout.is_none() {
+            let listing = self.store.declaration(STORE_TIMEOUT).await?;
+            let declaration = listing.items.into_iter().next();
+            let service = self.settings.service.as_ref();
+            self.layout = declaration
+                .as_ref()
+                .zip(service)
+                .and_then(|(declaration, service)| declaration.service(service))
+                .and_then(|target| target.engine.as_ref()?.experts);
+        }
+        if reign.links.len() + 1 < reign.size {
+            let listing = self
+                .store
+                .runners(Freshness::MayBeOld, STORE_TIMEOUT)
+                .await?;
+            let service = self.settings.service.as_ref();
+            for runner in listing.items {
+                if Some(&runner.service) == service && Some(runner.address) != self.settings.runner
+                {
+                    self.dial(reign, runner.address, events, stop);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn dial(
+        &self,
+        reign: &mut Reign,
+        runner: SocketAddr,
+        events: &mpsc::Sender<PeerEvent>,
+        stop: &CancellationToken,
+    ) {
+        if reign.dialers.contains_key(&runner) {
+            return;
+        }
+        let stop = stop.child_token();
+        reign.dialers.insert(runner, stop.clone());
+        let agent = SocketAddr::new(runner.ip(), link_port(self.settings.link_ports));
+        let dialer = Dialer {
+            agent,
+            runner,
+            group: reign.group.clone(),
+            events: events.clone(),
+            log: self.log.clone(),
+        };
+        tokio::spawn(dialer.run(stop));
+    }
+}
+
+impl Reign {
+    fn new(own: &OwnRank, now: Instant) -> Self {
+        Self {
+            group: own.state.group.clone(),
+            size: own.state.size,
+            switch: HeldSwitch::new(own.state.size),
+            counts: CountWindow::default(),
+            links: HashMap::default(),
+            experts: vec![None; own.state.size],
+            dialers: HashMap::default(),
+            planned_at: now,
+            refreshed_at: None,
+            runners: HashMap::default(),
+        }
+    }
+
+    fn is_of(&self, own: &OwnRank) -> bool {
+        own.state.rank == 0 && own.state.group == self.group && own.state.size == self.size
+    }
+
+    /// Puts together the map in use from what each rank says that it holds.
+    fn current_map(&self, epoch: u64, number: MapNumber) -> Option<Arc<ExpertMap>> {
+        let ranks: Option<Vec<&ExpertsWire>> = self.experts.iter().map(Option::as_ref).collect();
+        let ranks = ranks?;
+        let same = |held: &&ExpertsWire| held.epoch == epoch && held.map == number.0;
+        if !ranks.iter().all(same) {
+            return None;
+        }
+        let sets = ranks.first()?.experts.len();
+        let set = |at: usize| -> Option<Vec<Vec<u16>>> {
+            ranks
+                .iter()
+                .map(|held| held.experts.get(at).cloned())
+                .collect()
+        };
+        let sets: Option<Vec<_>> = (0..sets).map(set).collect();
+        Some(Arc::new(ExpertMap { sets: sets? }))
+    }
+}
--- /dev/null
+++ b/src/rank/peers.rs
@@ -0,0 +1,153 @@
+//! A leader's links to the other members of its group.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::eventlog::EventLog;
+use crate::eventlog::Weight;
+use crate::rank::link::Link;
+use crate::rank::wire::MemberMessage;
+use crate::rank::wire::OrderMessage;
+use crate::rank::wire::PlaceWire;
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Pause before a link is dialled again.
+const REDIAL_PAUSE: Duration = Duration::from_millis(150);
+/// Pause before an agent of another group is asked again, since runners may
+/// be dealt to groups anew.
+const STRANGER_PAUSE: Duration = Duration::from_secs(5);
+/// Longest wait for the first message of a member.
+const PLACE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Orders that wait for a link.
+const QUEUE: usize = 16;
+
+/// What a link tells the leader.
+#[derive(Debug)]
+pub(crate) enum PeerEvent {
+    /// A member is linked.
+    Up {
+        /// Its rank.
+        rank: usize,
+        /// Address of its runner.
+        runner: SocketAddr,
+        /// Takes orders for it.
+        orders: mpsc::Sender<OrderMessage>,
+    },
+    /// A message of a member.
+    Message {
+        /// Its rank.
+        rank: usize,
+        /// The message.
+        message: MemberMessage,
+    },
+    /// The link to a member ended.
+    Down {
+        /// Its rank.
+        rank: usize,
+    },
+}
+
+/// A link that is kept up.
+pub(crate) struct Dialer {
+    /// Address of the agent.
+    pub(crate) agent: SocketAddr,
+    /// Address of its runner.
+    pub(crate) runner: SocketAddr,
+    /// Group of the leader.
+    pub(crate) group: String,
+    pub(crate) events: mpsc::Sender<PeerEvent>,
+    pub(crate) log: EventLog,
+}
+
+impl Dialer {
+    /// Keeps the link up until it is told to stop.
+    pub(crate) async fn run(self, stop: CancellationToken) {
+        loop {
+            let pause = tokio::select! {
+                pause = self.link_once() => pause,
+                () = stop.cancelled() => return,
+            };
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = stop.cancelled() => return,
+            }
+        }
+    }
+
+    /// Runs one link to its end; returns the pause before the next.
+    async fn link_once(&self) -> Duration {
+        let Some((link, place)) = self.open().await else {
+            return REDIAL_PAUSE;
+        };
+        if place.group != self.group {
+            return STRANGER_PAUSE;
+        }
+        let rank = place.rank;
+        let (orders, rx) = mpsc::channel(QUEUE);
+        let up = PeerEvent::Up {
+            rank,
+            runner: self.runner,
+            orders,
+        };
+        if self.events.send(up).await.is_err() {
+            return REDIAL_PAUSE;
+        }
+        self.log
+            .line(Weight::State, "peer_met", json!({"rank": rank}));
+        let end = self.carry(link, rank, rx).await;
+        let error = end.err().map(|e| e.to_string());
+        let fields = json!({"rank": rank, "error": error});
+        self.log.line(Weight::State, "peer_lost", fields);
+        // The leader is gone when this fails.
+        let _ = self.events.send(PeerEvent::Down { rank }).await;
+        REDIAL_PAUSE
+    }
+
+    async fn open(&self) -> Option<(Link, PlaceWire)> {
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.agent))
+            .await
+            .ok()?
+            .ok()?;
+        let mut link = Link::new(stream).ok()?;
+        let first = tokio::time::timeout(PLACE_TIMEOUT, link.recv())
+            .await
+            .ok()?
+            .ok()?;
+        match first {
+            MemberMessage::Place(place) => Some((link, place)),
+            _ => None,
+        }
+    }
+
+    async fn carry(
+        &self,
+        mut link: Link,
+        rank: usize,
+        mut orders: mpsc::Receiver<OrderMessage>,
+    ) -> std::io::Result<()> {
+        loop {
+            tokio::select! {
+                message = link.recv::<MemberMessage>() => {
+                    let message = message?;
+                    if let MemberMessage::Place(place) = &message
+                        && (place.rank != rank || place.group != self.group)
+                    {
+                        return Err(std::io::Error::other("it has another place now"));
+                    }
+                    let event = PeerEvent::Message { rank, message };
+                    self.events.send(event).await.map_err(std::io::Error::other)?;
+                }
+                order = orders.recv() => match order {
+                    Some(order) => link.send(&order).await?,
+                    None => return Ok(()),
+                },
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/rank/wire.rs
@@ -0,0 +1,152 @@
+//! Messages between a group's leader and its members (postcard).
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+use wisteriawick_core::maps::ExpertMap;
+use wisteriawick_core::maps::MapNumber;
+use wisteriawick_core::maps::RankOrder;
+use wisteriawick_core::maps::RankView;
+
+/// Port for links between agents: the first of the ports for links.
+pub(crate) fn link_port(ports: (u16, u16)) -> u16 {
+    ports.0
+}
+
+/// What a member tells its leader.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum MemberMessage {
+    /// Its place in a group; the first message, and again when that changes.
+    Place(PlaceWire),
+    /// Its rank's state.
+    View(ViewWire),
+    /// The experts that it holds.
+    Experts(ExpertsWire),
+    /// How often experts were chosen since the last such message.
+    Counts(CountsWire),
+}
+
+/// A rank's place in a group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PlaceWire {
+    pub(crate) group: String,
+    pub(crate) rank: usize,
+    pub(crate) size: usize,
+}
+
+/// A rank's state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ViewWire {
+    epoch: u64,
+    is_open: bool,
+    pass: u64,
+    map: u64,
+    prepared: Option<u64>,
+    armed: Option<(u64, u64)>,
+    held: Option<u64>,
+}
+
+/// The experts of a rank in a map.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ExpertsWire {
+    pub(crate) epoch: u64,
+    pub(crate) map: u64,
+    /// By set.
+    pub(crate) experts: Vec<Vec<u16>>,
+}
+
+/// Choices of experts in a span of time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct CountsWire {
+    /// By set, then expert.
+    pub(crate) chosen: Vec<Vec<u32>>,
+}
+
+/// An order of the leader, void in any other life of the group.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct OrderMessage {
+    pub(crate) epoch: u64,
+    order: OrderWire,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum OrderWire {
+    Prepare {
+        number: u64,
+        sets: Vec<Vec<Vec<u16>>>,
+    },
+    Arm {
+        number: u64,
+        pass: u64,
+    },
+    Hold {
+        pass: u64,
+    },
+    Go {
+        pass: u64,
+    },
+}
+
+impl OrderMessage {
+    pub(crate) fn new(epoch: u64, order: &RankOrder) -> Self {
+        let order = match order {
+            RankOrder::Prepare { number, map } => OrderWire::Prepare {
+                number: number.0,
+                sets: map.sets.clone(),
+            },
+            RankOrder::Arm { number, pass } => OrderWire::Arm {
+                number: number.0,
+                pass: *pass,
+            },
+            RankOrder::Hold { pass } => OrderWire::Hold { pass: *pass },
+            RankOrder::Go { pass } => OrderWire::Go { pass: *pass },
+        };
+        Self { epoch, order }
+    }
+}
+
+impl From<OrderMessage> for RankOrder {
+    fn from(message: OrderMessage) -> Self {
+        match message.order {
+            OrderWire::Prepare { number, sets } => Self::Prepare {
+                number: MapNumber(number),
+                map: Arc::new(ExpertMap { sets }),
+            },
+            OrderWire::Arm { number, pass } => Self::Arm {
+                number: MapNumber(number),
+                pass,
+            },
+            OrderWire::Hold { pass } => Self::Hold { pass },
+            OrderWire::Go { pass } => Self::Go { pass },
+        }
+    }
+}
+
+impl From<&RankView> for ViewWire {
+    fn from(view: &RankView) -> Self {
+        Self {
+            epoch: view.epoch,
+            is_open: view.is_open,
+            pass: view.pass,
+            map: view.map.0,
+            prepared: view.prepared.map(|number| number.0),
+            armed: view.armed.map(|(number, pass)| (number.0, pass)),
+            held: view.held,
+        }
+    }
+}
+
+impl From<ViewWire> for RankView {
+    fn from(wire: ViewWire) -> Self {
+        Self {
+            epoch: wire.epoch,
+            is_open: wire.is_open,
+            pass: wire.pass,
+            map: MapNumber(wire.map),
+            prepared: wire.prepared.map(MapNumber),
+            armed: wire.armed.map(|(number, pass)| (MapNumber(number), pass)),
+            held: wire.held,
+        }
+    }
+}
