Report groups' load to entries; let any member resolve a hold

A leader that froze with a pass held left its group standing for 4 s. Now the leader of a group pushes its ranks' load to the entries, and any member lets a held group go on; the holder's order count decides between them.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -34,6 +34,7 @@
 pub use events::StreamCheck;
 pub use events::StreamFault;
 pub use latest::Latest;
+pub use load::GroupReport;
 pub use load::LoadReport;
 pub use pool::Admission;
 pub use pool::Candidate;
--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -1,7 +1,10 @@
 //! What a runner says of its load.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 /// Load of a runner, from its own report.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct LoadReport {
     /// Requests that run.
     pub running: u32,
@@ -9,6 +12,17 @@
     pub waiting: u32,
     /// Speed: one is normal, more is slower.
     pub pace: f64,
-    /// Whether its group is open; `None` for runners without a group.
-    pub group_open: Option<bool>,
+    /// Its group; `None` for runners that work alone.
+    pub group: Option<GroupReport>,
+}
+
+/// State of a lock-step group.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GroupReport {
+    /// Name of the group.
+    pub name: Arc<str>,
+    /// Whether all ranks are there.
+    pub is_open: bool,
+    /// Time of a pass of late; zero while none is known.
+    pub pass: Duration,
 }
--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -6,6 +6,8 @@
 //! cannot begin in time is refused at once.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -21,6 +23,10 @@
 const LONGEST_ABSENCE: Duration = Duration::from_secs(4);
 /// Failures in a row before a runner is left out.
 const FAILURES_BEFORE_ABSENCE: u32 = 2;
+/// How long a runner or group that refused is left alone: about two passes,
+/// for an open group that was full; a group that forms takes longer and
+/// refuses again.
+const REFUSAL_REST: Duration = Duration::from_millis(120);
 /// Bounds of the advice when to come back.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(300);
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(4);
@@ -28,6 +34,11 @@
 const RATE_WINDOW: Duration = Duration::from_secs(2);
 /// Age at which a load report says nothing any more.
 const REPORT_LIFE: Duration = Duration::from_millis(1500);
+/// Time of a pass that weighs as much as a full runner: with it, pauses
+/// between events of a stream become late.
+const SLOW_PASS: Duration = Duration::from_millis(120);
+/// Load that a runner's slowness after its start is worth.
+const COLD_PENALTY: f64 = 0.5;
 /// Slowness of one runner that another data centre is worth.
 const FAR_PENALTY: f64 = 0.15;
 
@@ -98,8 +109,12 @@
 /// Limits of a pool.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolLimits {
-    /// Requests of this entry that one runner holds at most.
+    /// Requests of all entries that one runner holds at most, as far as its
+    /// reports tell.
     pub per_runner: u32,
+    /// Requests of this entry that one runner holds at most while no report
+    /// tells what others send it.
+    pub unreported: u32,
     /// Requests that wait at most.
     pub waiting: usize,
     /// Share of the time until the deadline that a request may wait.
@@ -113,15 +128,23 @@
     in_flight: u32,
     failures: u32,
     absent_until: Option<Instant>,
-    report: Option<(Instant, LoadReport)>,
+    report: Option<Reported>,
     /// Whether it is gone from the list; kept while requests are at it.
     gone: bool,
 }
 
+#[derive(Clone, Debug)]
+struct Reported {
+    at: Instant,
+    load: LoadReport,
+    /// Own requests at the runner when the report came.
+    own: u32,
+}
+
 impl Runner {
     fn takes_work(&self, now: Instant) -> bool {
         let open = match self.fresh_report(now) {
-            Some(report) => report.group_open != Some(false),
+            Some(Reported { load, .. }) => load.group.as_ref().is_none_or(|group| group.is_open),
             None => true,
         };
         open && !self.gone
@@ -129,11 +152,31 @@
             && self.absent_until.is_none_or(|until| now >= until)
     }
 
-    fn fresh_report(&self, now: Instant) -> Option<&LoadReport> {
+    fn fresh_report(&self, now: Instant) -> Option<&Reported> {
         self.report
             .as_ref()
-            .filter(|(at, _)| now.saturating_duration_since(*at) < REPORT_LIFE)
-            .map(|(_, report)| report)
+            .filter(|report| now.saturating_duration_since(report.at) < REPORT_LIFE)
+    }
+
+    /// Returns the requests of all entries at the runner: own ones as they
+    /// are, others' as of its last report.
+    fn held(&self, now: Instant) -> u32 {
+        let others = self.fresh_report(now).map_or(0, |report| {
+            let reported = report.load.running + report.load.waiting;
+            reported.saturating_sub(report.own)
+        });
+        self.in_flight + others
+    }
+
+    fn has_room(&self, now: Instant, limits: &PoolLimits) -> bool {
+        match self.fresh_report(now) {
+            Some(_) => self.held(now) < limits.per_runner,
+            None => self.in_flight < limits.unreported,
+        }
+    }
+
+    fn group(&self) -> Option<&Arc<str>> {
+        Some(&self.report.as_ref()?.load.group.as_ref()?.name)
     }
 }
 
@@ -206,9 +249,14 @@
     }
 
     /// Takes a runner's report of its load.
-    pub fn report(&mut self, now: Instant, id: &RunnerId, report: LoadReport) {
-        if let Some(runner) = self.runners.get_mut(id) {
-            runner.report = Some((now, report));
+    pub fn report(&mut self, now: Instant, address: SocketAddr, load: &LoadReport) {
+        let at_address = |runner: &&mut Runner| runner.listed.address == address;
+        if let Some(runner) = self.runners.values_mut().find(at_address) {
+            runner.report = Some(Reported {
+                at: now,
+                load: load.clone(),
+                own: runner.in_flight,
+            });
         }
     }
 
@@ -257,7 +305,7 @@
             match status {
                 RunnerStatus::Served => runner.failures = 0,
                 RunnerStatus::Abandoned => {}
-                RunnerStatus::Busy => runner.absent_until = Some(now + FIRST_ABSENCE / 4),
+                RunnerStatus::Busy => {}
                 RunnerStatus::Failed => {
                     runner.failures += 1;
                     if runner.failures >= FAILURES_BEFORE_ABSENCE {
@@ -272,9 +320,29 @@
                 self.runners.remove(id);
             }
         }
+        if status == RunnerStatus::Busy {
+            self.rest_after_refusal(now, id);
+        }
         self.wake(now)
     }
 
+    /// Leaves a runner that refused alone for a moment, and its whole group if
+    /// the runner itself is not full: then the group is not open.
+    fn rest_after_refusal(&mut self, now: Instant, id: &RunnerId) {
+        let Some(runner) = self.runners.get(id) else {
+            return;
+        };
+        let is_full = runner.held(now) >= runner.listed.slots;
+        let group = runner.group().filter(|_| !is_full).cloned();
+        let until = now + REFUSAL_REST;
+        for (held, runner) in &mut self.runners {
+            let same_group = group.is_some() && runner.group() == group.as_ref();
+            if held == id || same_group {
+                runner.absent_until = runner.absent_until.max(Some(until));
+            }
+        }
+    }
+
     /// Lets waiting requests go on, and turns away those that wait in vain.
     pub fn wake(&mut self, now: Instant) -> Vec<Wake> {
         let mut wakes = Vec::new();
@@ -309,7 +377,7 @@
             .values()
             .enumerate()
             .filter(|(_, runner)| runner.takes_work(now))
-            .filter(|(_, runner)| runner.in_flight < self.limits.per_runner)
+            .filter(|(_, runner)| runner.has_room(now, &self.limits))
             .filter(|(_, runner)| !work.excluded.contains(&runner.listed.id))
             .map(|(at, runner)| {
                 let order = (at + count as usize - start) % count as usize;
@@ -324,25 +392,26 @@
         })
     }
 
-    /// Returns how loaded a runner is, as requests at it for each slot.
+    /// Returns how loaded a runner is, as requests at it for each slot, with
+    /// the pace of its group and the distance added.
     fn cost(&self, now: Instant, runner: &Runner) -> f64 {
-        let own = f64::from(runner.in_flight);
-        let reported = runner
-            .fresh_report(now)
-            .map_or(0.0, |report| f64::from(report.running + report.waiting));
         let slots = f64::from(runner.listed.slots.max(1));
-        let far = if runner.listed.place == self.place {
-            0.0
-        } else {
-            FAR_PENALTY
+        let held = f64::from(runner.held(now)) / slots;
+        let pass = runner
+            .fresh_report(now)
+            .and_then(|report| report.load.group.as_ref())
+            .map_or(0.0, |group| {
+                group.pass.as_secs_f64() / SLOW_PASS.as_secs_f64()
+            });
+        let far = match runner.listed.place == self.place {
+            true => 0.0,
+            false => FAR_PENALTY / slots,
         };
-        let cold = if runner.listed.cold.is_zero() {
-            0.0
-        } else {
-            0.5
+        let cold = match runner.listed.cold.is_zero() {
+            true => 0.0,
+            false => COLD_PENALTY,
         };
-        let failed = f64::from(runner.failures);
-        own.max(reported) / slots + own / slots + far / slots + cold + failed
+        held + pass + far + cold + f64::from(runner.failures)
     }
 
     fn latest_start(&self, work: &Work) -> Instant {
--- a/crates/core/src/maps/held_switch.rs
+++ b/crates/core/src/maps/held_switch.rs
@@ -1,12 +1,18 @@
 //! Changes a group's expert map at one pass, where orders get lost and are
 //! carried out late.
 //!
-//! Rank 0 holds a pass, all ranks are armed for it, and only when every rank's
-//! own report shows that does the pass get leave to begin. Armed ranks are
-//! never disarmed: once the first arm is out, the change is carried through,
-//! because an arm whose fate is unknown may still take effect until the pass
-//! begins, and none can after that. A hold that this core did not order is
-//! resolved the same way, whoever left it.
+//! Rank 0, the holder, holds a pass. Then it is armed for that pass, then all
+//! other ranks are, and only when every rank's own report shows that does the
+//! pass get leave to begin. Armed ranks are never disarmed: an arm whose fate
+//! is unknown may still take effect until the pass begins, and none can after
+//! that, so a change that began is carried through.
+//!
+//! Whether it began is decided at the holder alone. The order that arms it and
+//! the order that lets the pass begin without a change both expect the same
+//! number of accepted orders, so only one of them takes effect, whoever gave
+//! it and however late it comes. Other ranks are armed only once the holder's
+//! report shows its arm. That makes it safe for several agents to act at the
+//! same time: any of them may resolve a hold that another one left.
 //!
 //! It differs from [`Switch`](crate::maps::Switch), whose engines hold an
 //! armed pass by themselves and vote; here engines know nothing of each other.
@@ -53,6 +59,8 @@
         rank: usize,
         /// Life of the group.
         epoch: u64,
+        /// Number of accepted orders at which it holds; any if `None`.
+        expect: Option<u64>,
         /// The order.
         order: RankOrder,
     },
@@ -243,24 +251,17 @@
 
     /// Resolves a hold that somebody else left.
     fn look_for_hold(&mut self, now: Instant, out: &mut Vec<HeldOutput>) -> bool {
-        let Some(pass) = self.holder().and_then(|view| view.held) else {
+        let Some(view) = self.holder() else {
             return false;
         };
-        let Some(views) = self.all_views() else {
+        let Some(pass) = view.held else {
             return false;
         };
-        let armed = views
-            .iter()
-            .find_map(|view| view.armed)
+        // Without an arm at the holder, no other rank is armed for this pass.
+        let number = view
+            .armed
             .filter(|(_, armed_pass)| *armed_pass == pass)
             .map(|(number, _)| number);
-        // Ranks are armed only once all have copied the map. If all have, an
-        // arm may still be on its way, and the change must go on.
-        let prepared = views[HOLDER]
-            .prepared
-            .filter(|number| views.iter().all(|view| view.prepared == Some(*number)))
-            .filter(|number| views.iter().any(|view| view.map != *number));
-        let number = armed.or(prepared);
         out.push(HeldOutput::FoundHold { pass, number });
         self.phase = match number {
             Some(number) => Phase::Arming {
@@ -367,6 +368,30 @@
         out: &mut Vec<HeldOutput>,
     ) -> bool {
         let order = RankOrder::Arm { number, pass };
+        let Some(holder) = self.holder() else {
+            return false;
+        };
+        if !order.is_done(holder) {
+            if let Some((other, armed_pass)) = holder.armed
+                && armed_pass == pass
+            {
+                // Somebody else began a change; it is carried through.
+                self.phase = Phase::Arming {
+                    number: other,
+                    pass,
+                    since,
+                };
+                return true;
+            }
+            if holder.held != Some(pass) {
+                // Somebody else let the pass begin without a change.
+                self.give_up("the pass was released", out);
+                return true;
+            }
+            let expect = Some(holder.orders);
+            self.give_expecting(now, HOLDER, expect, order, out);
+            return false;
+        }
         self.give_missing(now, &order, out);
         let Some(views) = self.all_views() else {
             return false;
@@ -394,7 +419,13 @@
             return false;
         };
         if view.held == Some(pass) {
-            self.give(now, HOLDER, RankOrder::Go { pass }, out);
+            if number.is_none() && view.armed.is_some_and(|(_, armed_pass)| armed_pass == pass) {
+                // Somebody else began the change first.
+                self.phase = Phase::Idle;
+                return true;
+            }
+            let expect = Some(view.orders);
+            self.give_expecting(now, HOLDER, expect, RankOrder::Go { pass }, out);
             return false;
         }
         let held = now.saturating_duration_since(since);
@@ -442,6 +473,17 @@
     }
 
     fn give(&mut self, now: Instant, rank: usize, order: RankOrder, out: &mut Vec<HeldOutput>) {
+        self.give_expecting(now, rank, None, order, out);
+    }
+
+    fn give_expecting(
+        &mut self,
+        now: Instant,
+        rank: usize,
+        expect: Option<u64>,
+        order: RankOrder,
+        out: &mut Vec<HeldOutput>,
+    ) {
         let given = &mut self.given[rank];
         let repeated = given
             .as_ref()
@@ -453,6 +495,7 @@
         out.push(HeldOutput::Order {
             rank,
             epoch: self.epoch,
+            expect,
             order,
         });
     }
--- a/crates/core/src/maps/rank.rs
+++ b/crates/core/src/maps/rank.rs
@@ -56,6 +56,9 @@
     pub armed: Option<(MapNumber, u64)>,
     /// Pass that it does not begin without leave.
     pub held: Option<u64>,
+    /// Orders that it accepted. An order may expect a number, and is refused
+    /// at any other.
+    pub orders: u64,
 }
 
 /// An order for a rank.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -10,6 +10,7 @@
 mod exchange;
 mod hub;
 mod listen;
+mod loads;
 mod relay;
 mod slot;
 mod upstream;
@@ -61,6 +62,7 @@
     ));
     tokio::spawn(watch::watch_declaration(Arc::clone(&hub), end.clone()));
     tokio::spawn(watch::watch_runners(Arc::clone(&hub), end.clone()));
+    tokio::spawn(loads::watch_loads(Arc::clone(&hub), end.clone()));
     tokio::spawn(hub::keep_house(Arc::clone(&hub), end.clone()));
     listen::serve_callers(callers, Arc::clone(&hub), stop).await;
     end.cancel();
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -3,6 +3,7 @@
 //! Every holder of a lock runs a core and lets go; none awaits. A message to
 //! an owning task would cost two wake-ups for each request.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -21,6 +22,7 @@
 use wisteriawick_core::gateway::Admission;
 use wisteriawick_core::gateway::Declaration;
 use wisteriawick_core::gateway::Latest;
+use wisteriawick_core::gateway::LoadReport;
 use wisteriawick_core::gateway::Pool;
 use wisteriawick_core::gateway::PoolLimits;
 use wisteriawick_core::gateway::RepeatBudget;
@@ -167,6 +169,36 @@
         }
     }
 
+    /// Returns the runners of services with groups.
+    pub(crate) fn engine_runners(&self) -> Vec<(SocketAddr, ServiceId)> {
+        let Some(declaration) = self.declaration() else {
+            return Vec::new();
+        };
+        let with_groups = |service: &ServiceId| {
+            declaration
+                .service(service)
+                .and_then(|target| target.engine.as_ref())
+                .is_some_and(|engine| engine.experts.is_some())
+        };
+        lock(&self.roster)
+            .all()
+            .filter(|runner| with_groups(&runner.service))
+            .map(|runner| (runner.address, runner.service.clone()))
+            .collect()
+    }
+
+    /// Takes reports of runners' load, by address.
+    pub(crate) fn take_loads(&self, service: &ServiceId, reports: &[(SocketAddr, LoadReport)]) {
+        let now = self.now();
+        self.with_service(service, |state| {
+            for (address, report) in reports {
+                state.pool.report(now, *address, report);
+            }
+            let wakes = state.pool.wake(now);
+            state.deliver(now, wakes);
+        });
+    }
+
     pub(crate) fn set_has_roster(&self) {
         self.has_roster.store(true, Ordering::Relaxed);
     }
@@ -264,12 +296,16 @@
 }
 
 fn pool_limits(target: &ServiceTarget) -> PoolLimits {
-    let per_runner = match &target.engine {
-        Some(engine) => (engine.slots as usize).div_ceil(ENTRIES) as u32,
-        None => PLAIN_PER_RUNNER,
+    let (per_runner, unreported) = match &target.engine {
+        Some(engine) => (
+            engine.slots,
+            (engine.slots as usize).div_ceil(ENTRIES) as u32,
+        ),
+        None => (PLAIN_PER_RUNNER, PLAIN_PER_RUNNER),
     };
     PoolLimits {
         per_runner,
+        unreported,
         waiting: MAX_WAITING,
         wait_share: WAIT_SHARE,
     }
--- /dev/null
+++ b/src/gateway/loads.rs
@@ -0,0 +1,128 @@
+//! Learns the load of groups from the agents that lead them.
+//!
+//! An entry dials the agent beside each runner of a service with groups, and
+//! keeps the link only where that agent leads. Nothing a request needs depends
+//! on these links: without reports an entry goes by its own requests.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+use wisteriawick_core::collections::HashMap;
+use wisteriawick_core::gateway::GroupReport;
+use wisteriawick_core::gateway::LoadReport;
+use wisteriawick_core::ids::ServiceId;
+
+use crate::eventlog::Weight;
+use crate::gateway::hub::Hub;
+use crate::rank::link::Link;
+use crate::rank::wire::GroupLoadWire;
+use crate::rank::wire::GroupMessage;
+use crate::rank::wire::Hello;
+use crate::rank::wire::link_port;
+
+/// Time between two looks at which runners there are.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+/// Longest wait for a connection and the first message.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause before an agent that does not lead is asked again.
+const FOLLOWER_PAUSE: Duration = Duration::from_secs(5);
+/// Pause before an agent that did not answer is dialled again.
+const REDIAL_PAUSE: Duration = Duration::from_millis(400);
+
+/// Keeps links to the leaders of all groups.
+pub(crate) async fn watch_loads(hub: Arc<Hub>, end: CancellationToken) {
+    let mut dialled: HashMap<SocketAddr, CancellationToken> = HashMap::default();
+    let mut looks = tokio::time::interval(LOOK_EVERY);
+    loop {
+        tokio::select! {
+            _ = looks.tick() => {}
+            () = end.cancelled() => return,
+        }
+        let runners = hub.engine_runners();
+        dialled.retain(|address, stop| {
+            let keep = runners.iter().any(|(held, _)| held == address);
+            if !keep {
+                stop.cancel();
+            }
+            keep
+        });
+        for (address, service) in runners {
+            if dialled.contains_key(&address) {
+                continue;
+            }
+            let stop = end.child_token();
+            dialled.insert(address, stop.clone());
+            tokio::spawn(follow(Arc::clone(&hub), address, service, stop));
+        }
+    }
+}
+
+async fn follow(hub: Arc<Hub>, runner: SocketAddr, service: ServiceId, stop: CancellationToken) {
+    loop {
+        let pause = tokio::select! {
+            pause = follow_once(&hub, runner, &service) => pause,
+            () = stop.cancelled() => return,
+        };
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = stop.cancelled() => return,
+        }
+    }
+}
+
+/// Follows one link to its end; returns the pause before the next.
+async fn follow_once(hub: &Hub, runner: SocketAddr, service: &ServiceId) -> Duration {
+    let port = link_port(hub.settings.link_ports);
+    let agent = SocketAddr::new(runner.ip(), port);
+    let opened = tokio::time::timeout(OPEN_TIMEOUT, open(agent)).await;
+    let Ok(Ok((mut link, first))) = opened else {
+        return REDIAL_PAUSE;
+    };
+    let group = match first {
+        GroupMessage::Place(place) if place.rank == 0 => place.group,
+        GroupMessage::Place(_) => return FOLLOWER_PAUSE,
+        GroupMessage::Load(_) => return REDIAL_PAUSE,
+    };
+    let fields = json!({"group": group, "agent": agent.to_string()});
+    hub.log.line(Weight::State, "leader_met", fields.clone());
+    while let Ok(message) = link.recv::<GroupMessage>().await {
+        if let GroupMessage::Load(load) = message {
+            hub.take_loads(service, &reports(&group, &load));
+        }
+    }
+    hub.log.line(Weight::State, "leader_lost", fields);
+    REDIAL_PAUSE
+}
+
+async fn open(agent: SocketAddr) -> std::io::Result<(Link, GroupMessage)> {
+    let mut link = Link::new(TcpStream::connect(agent).await?)?;
+    link.send(&Hello::Entry).await?;
+    let first = link.recv().await?;
+    Ok((link, first))
+}
+
+fn reports(group: &str, load: &GroupLoadWire) -> Vec<(SocketAddr, LoadReport)> {
+    /// Thousandths of one.
+    const MILLI: f64 = 1000.0;
+    let group = GroupReport {
+        name: group.into(),
+        is_open: load.is_open,
+        pass: Duration::from_micros(load.pass_us.into()),
+    };
+    load.ranks
+        .iter()
+        .map(|rank| {
+            let report = LoadReport {
+                running: rank.running.into(),
+                waiting: rank.waiting.into(),
+                pace: f64::from(rank.pace_milli) / MILLI,
+                group: Some(group.clone()),
+            };
+            (rank.runner, report)
+        })
+        .collect()
+}
--- a/src/rank.rs
+++ b/src/rank.rs
@@ -2,21 +2,24 @@
 //!
 //! It reads its own runner's state, which is fresh and free there, and is the
 //! only process that gives it orders in ordinary times. The agent of rank 0
-//! leads its group: it gathers counts, plans expert maps and changes them.
-//! It is not on the path of requests.
+//! leads its group: it gathers counts, plans expert maps, changes them and
+//! tells entries the group's load. It is not on the path of requests.
 
 mod api;
 mod counts;
 mod lead;
-mod link;
+pub(crate) mod link;
 mod member;
+mod passes;
 mod peers;
-mod wire;
+mod resolve;
+pub(crate) mod wire;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde_json::json;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::hosting::HostSettings;
 use wisteriawick_core::time::SharedClock;
@@ -27,7 +30,9 @@
 use crate::eventlog::Weight;
 use crate::gateway::bind;
 use crate::rank::lead::Lead;
+use crate::rank::link::GroupHandle;
 use crate::rank::member::Member;
+use crate::rank::resolve::Resolver;
 
 /// Runs until `stop` is cancelled.
 ///
@@ -51,8 +56,13 @@
     );
     let (member, handle) = Member::new(runner, Arc::clone(&clock), log.clone());
     tokio::spawn(member.run(stop.clone()));
-    tokio::spawn(link::serve(listener, handle.clone(), stop.clone()));
-    let lead = Lead::new(settings, clock, log.clone(), handle);
+    let (load_tx, load) = watch::channel(None);
+    let (runners, runners_rx) = watch::channel(Vec::new());
+    let group = GroupHandle { load, runners };
+    tokio::spawn(link::serve(listener, handle.clone(), group, stop.clone()));
+    let resolver = Resolver::new(Arc::clone(&clock), log.clone(), handle.clone(), runners_rx);
+    tokio::spawn(resolver.run(stop.clone()));
+    let lead = Lead::new(settings, clock, log.clone(), handle, load_tx);
     lead.run(stop).await;
     log.line(Weight::State, "stopped", json!({}));
     Ok(())
--- a/src/rank/api.rs
+++ b/src/rank/api.rs
@@ -30,10 +30,11 @@
 ///
 /// Each try expects the number of orders that the rank had accepted, so of all
 /// tries one at most takes effect, and a late copy of it none at all once a
-/// newer order was accepted.
+/// newer order was accepted. With `expect` the number is fixed beforehand.
 pub(crate) async fn carry_out(
     api: &mut RunnerApi,
     epoch: u64,
+    expect: Option<u64>,
     order: &RankOrder,
     mut seen: impl FnMut(&EngineState),
 ) -> Result<OrderResult, DecodeError> {
@@ -49,19 +50,22 @@
         if order.is_done(&rank.view) {
             return Ok(OrderResult::Done);
         }
+        let before = rank.view.orders;
+        if expect.is_some_and(|expected| expected != before) {
+            return Ok(OrderResult::Refused(0));
+        }
         let context = OrderContext {
             epoch,
-            orders: state.orders,
+            orders: before,
         };
         let answer = api.order(order, context, CALL_TIMEOUT).await;
-        let before = state.orders;
         state = api.state(CALL_TIMEOUT).await?;
         match answer {
             OrderAnswer::Accepted => {
                 seen(&state);
                 return Ok(OrderResult::Done);
             }
-            OrderAnswer::Refused(status) if state.orders == before => {
+            OrderAnswer::Refused(status) if accepted(&state) == Some(before) => {
                 seen(&state);
                 return Ok(OrderResult::Refused(status));
             }
@@ -70,3 +74,8 @@
     }
     Ok(OrderResult::Unknown)
 }
+
+/// Returns how many orders a rank accepted.
+fn accepted(state: &EngineState) -> Option<u64> {
+    state.rank.as_ref().map(|rank| rank.view.orders)
+}
--- a/src/rank/lead.rs
+++ b/src/rank/lead.rs
@@ -7,6 +7,7 @@
 
 use serde_json::json;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::collections::HashMap;
 use wisteriawick_core::gateway::ExpertLayout;
@@ -31,11 +32,16 @@
 use crate::rank::counts::CountWindow;
 use crate::rank::member::MemberHandle;
 use crate::rank::member::OwnRank;
+use crate::rank::passes::PassTimes;
 use crate::rank::peers::Dialer;
 use crate::rank::peers::PeerEvent;
 use crate::rank::wire::ExpertsWire;
+use crate::rank::wire::GroupLoadWire;
+use crate::rank::wire::LeaderMessage;
+use crate::rank::wire::LoadWire;
 use crate::rank::wire::MemberMessage;
 use crate::rank::wire::OrderMessage;
+use crate::rank::wire::RankLoadWire;
 use crate::rank::wire::link_port;
 
 /// Time between two looks at whether a plan pays.
@@ -70,6 +76,8 @@
     member: MemberHandle,
     store: Store,
     layout: Option<ExpertLayout>,
+    /// The group's load, for entries.
+    load: watch::Sender<Option<GroupLoadWire>>,
 }
 
 /// What is known while this agent leads a group.
@@ -84,11 +92,13 @@
     planned_at: Instant,
     refreshed_at: Option<Instant>,
     /// Runner addresses of ranks, also of those whose link is down.
-    runners: HashMap<usize, SocketAddr>,
+    runners: Vec<Option<SocketAddr>>,
+    loads: Vec<LoadWire>,
+    passes: PassTimes,
 }
 
 struct PeerLink {
-    orders: mpsc::Sender<OrderMessage>,
+    orders: mpsc::Sender<LeaderMessage>,
 }
 
 impl Lead {
@@ -97,6 +107,7 @@
         clock: SharedClock,
         log: EventLog,
         member: MemberHandle,
+        load: watch::Sender<Option<GroupLoadWire>>,
     ) -> Self {
         Self {
             store: Store::new(settings.store),
@@ -105,6 +116,7 @@
             log,
             member,
             layout: None,
+            load,
         }
     }
 
@@ -137,7 +149,7 @@
     async fn reign(&mut self, own: OwnRank, stop: CancellationToken) {
         let (events_tx, mut events) = mpsc::channel(QUEUE);
         let mut counts = self.member.counts();
-        let mut reign = Reign::new(&own, self.clock.now());
+        let mut reign = Reign::new(&own, self.settings.runner, self.clock.now());
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         self.take_own(&mut reign, &own);
@@ -177,6 +189,7 @@
         if let Some(experts) = &own.experts {
             reign.experts[0] = Some(experts.clone());
         }
+        self.publish_load(reign, own);
         self.feed(reign, HeldInput::View(0, own.state.view.clone()));
     }
 
@@ -186,10 +199,12 @@
                 rank,
                 runner,
                 orders,
-            } => {
-                reign.runners.insert(rank, runner);
+            } if rank < reign.size => {
+                reign.runners[rank] = Some(runner);
                 reign.links.insert(rank, PeerLink { orders });
+                reign.tell_runners();
             }
+            PeerEvent::Up { .. } => {}
             PeerEvent::Down { rank } => {
                 reign.links.remove(&rank);
                 self.feed(reign, HeldInput::Lost(rank));
@@ -198,6 +213,11 @@
                 MemberMessage::View(view) => {
                     self.feed(reign, HeldInput::View(rank, view.into()));
                 }
+                MemberMessage::Load(load) => {
+                    if let Some(held) = reign.loads.get_mut(rank) {
+                        *held = load;
+                    }
+                }
                 MemberMessage::Experts(experts) => {
                     if let Some(held) = reign.experts.get_mut(rank) {
                         *held = Some(experts);
@@ -222,7 +242,12 @@
 
     fn carry_out(&self, reign: &mut Reign, output: HeldOutput) {
         match output {
-            HeldOutput::Order { rank, epoch, order } => self.order(reign, rank, epoch, &order),
+            HeldOutput::Order {
+                rank,
+                epoch,
+                expect,
+                order,
+            } => self.order(reign, rank, OrderMessage::new(epoch, expect, &order)),
             HeldOutput::Switched { number, held } => self.log.line(
                 Weight::State,
                 "map_switched",
@@ -249,8 +274,7 @@
         }
     }
 
-    fn order(&self, reign: &mut Reign, rank: usize, epoch: u64, order: &RankOrder) {
-        let message = OrderMessage::new(epoch, order);
+    fn order(&self, reign: &Reign, rank: usize, message: OrderMessage) {
         if rank == 0 {
             // A full queue means that earlier orders are under way; the core
             // gives this one again.
@@ -259,30 +283,57 @@
         }
         match reign.links.get(&rank) {
             Some(link) => {
-                let _ = link.orders.try_send(message);
+                let _ = link.orders.try_send(LeaderMessage::Order(message));
             }
-            None => self.order_directly(reign, rank, epoch, order),
+            None => self.order_directly(reign, rank, message),
         }
     }
 
     /// Arms a rank whose agent is away, so that a held group goes on.
-    fn order_directly(&self, reign: &Reign, rank: usize, epoch: u64, order: &RankOrder) {
-        let Some(runner) = reign.runners.get(&rank).copied() else {
+    fn order_directly(&self, reign: &Reign, rank: usize, message: OrderMessage) {
+        let Some(runner) = reign.runners[rank] else {
             return;
         };
+        let epoch = message.epoch;
+        let expect = message.expect;
+        let order = RankOrder::from(message);
         if !matches!(order, RankOrder::Arm { .. }) {
             return;
         }
-        let order = order.clone();
         let log = self.log.clone();
         tokio::spawn(async move {
             let mut api = RunnerApi::new(runner);
-            let done = carry_out(&mut api, epoch, &order, |_| {}).await;
+            let done = carry_out(&mut api, epoch, expect, &order, |_| {}).await;
             let fields = json!({"rank": rank, "result": format!("{done:?}")});
             log.line(Weight::Failure, "armed_without_agent", fields);
         });
     }
 
+    /// Publishes the group's load for entries.
+    fn publish_load(&self, reign: &mut Reign, own: &OwnRank) {
+        reign.loads[0] = LoadWire::from(&own.load);
+        let view = &own.state.view;
+        reign.passes.see(self.clock.now(), view.pass);
+        let ranks = reign
+            .runners
+            .iter()
+            .zip(&reign.loads)
+            .filter_map(|(runner, load)| {
+                Some(RankLoadWire {
+                    runner: (*runner)?,
+                    running: load.running,
+                    waiting: load.waiting,
+                    pace_milli: load.pace_milli,
+                })
+            })
+            .collect();
+        self.load.send_replace(Some(GroupLoadWire {
+            is_open: view.is_open,
+            pass_us: reign.passes.mean_us(),
+            ranks,
+        }));
+    }
+
     fn plan(&self, reign: &mut Reign) {
         let now = self.clock.now();
         if now.saturating_duration_since(reign.planned_at) < PLAN_EVERY {
@@ -423,7 +474,9 @@
 }
 
 impl Reign {
-    fn new(own: &OwnRank, now: Instant) -> Self {
+    fn new(own: &OwnRank, runner: Option<SocketAddr>, now: Instant) -> Self {
+        let mut runners = vec![None; own.state.size];
+        runners[0] = runner;
         Self {
             group: own.state.group.clone(),
             size: own.state.size,
@@ -434,7 +487,19 @@
             dialers: HashMap::default(),
             planned_at: now,
             refreshed_at: None,
-            runners: HashMap::default(),
+            runners,
+            loads: vec![LoadWire::default(); own.state.size],
+            passes: PassTimes::default(),
+        }
+    }
+
+    /// Tells all members where the group's runners are.
+    fn tell_runners(&self) {
+        for link in self.links.values() {
+            // A member that misses this learns it with the next link.
+            let _ = link
+                .orders
+                .try_send(LeaderMessage::Runners(self.runners.clone()));
         }
     }
 
--- a/src/rank/link.rs
+++ b/src/rank/link.rs
@@ -1,9 +1,12 @@
-//! Links between agents: one TCP connection from a leader to each member.
+//! Links to agents: from a leader to each member, from entries to leaders.
 //!
 //! The links carry no secrets and give no power: a runner takes orders from
 //! anybody who reaches it, so a stranger gains nothing here that the runner
 //! itself would not give. Nothing that a request needs depends on them.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use bytes::Bytes;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
@@ -12,6 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::broadcast::error::RecvError;
+use tokio::sync::watch;
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 use tokio_util::sync::CancellationToken;
@@ -20,14 +24,31 @@
 use crate::rank::member::MemberHandle;
 use crate::rank::member::OwnRank;
 use crate::rank::wire::ExpertsWire;
+use crate::rank::wire::GroupLoadWire;
+use crate::rank::wire::GroupMessage;
+use crate::rank::wire::Hello;
+use crate::rank::wire::LeaderMessage;
+use crate::rank::wire::LoadWire;
 use crate::rank::wire::MemberMessage;
-use crate::rank::wire::OrderMessage;
 use crate::rank::wire::PlaceWire;
 use crate::rank::wire::ViewWire;
 
 /// Largest message, in bytes: a map of a group of 64 ranks is below 200 kB.
 const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 
+/// Time between two reports of a group's load to an entry at least: about two
+/// passes, below which an entry knows its own part better.
+const LOAD_PAUSE: Duration = Duration::from_millis(80);
+
+/// What an agent knows of its group beyond its own rank.
+#[derive(Clone, Debug)]
+pub(crate) struct GroupHandle {
+    /// The group's load, while this agent leads.
+    pub(crate) load: watch::Receiver<Option<GroupLoadWire>>,
+    /// Addresses of the group's runners by rank, as the leader told them.
+    pub(crate) runners: watch::Sender<Vec<Option<SocketAddr>>>,
+}
+
 /// A connection that carries messages.
 pub(crate) struct Link {
     framed: Framed<TcpStream, LengthDelimitedCodec>,
@@ -64,41 +85,83 @@
     }
 }
 
-/// Takes links of leaders.
-pub(crate) async fn serve(listener: TcpListener, member: MemberHandle, stop: CancellationToken) {
+/// Takes links of leaders and entries.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    member: MemberHandle,
+    group: GroupHandle,
+    stop: CancellationToken,
+) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = stop.cancelled() => return,
         };
         let Ok((stream, _)) = accepted else {
-            continue; // The leader dials again.
+            continue; // Whoever dialled dials again.
         };
         let member = member.clone();
+        let group = group.clone();
         let stop = stop.clone();
         tokio::spawn(async move {
             let Ok(link) = Link::new(stream) else {
                 return;
             };
             tokio::select! {
-                // The leader dials again after any failure.
-                _ = report(link, member) => {}
+                // Whoever dialled dials again after any failure.
+                _ = answer(link, member, group) => {}
                 () = stop.cancelled() => {}
             }
         });
     }
 }
 
+async fn answer(mut link: Link, member: MemberHandle, group: GroupHandle) -> std::io::Result<()> {
+    match link.recv::<Hello>().await? {
+        Hello::Leader => report(link, member, group).await,
+        Hello::Entry => tell_load(link, member, group).await,
+    }
+}
+
+/// Tells an entry this agent's place, and the group's load while it leads.
+async fn tell_load(
+    mut link: Link,
+    member: MemberHandle,
+    mut group: GroupHandle,
+) -> std::io::Result<()> {
+    let own = member.own.borrow().clone();
+    let Some(own) = own else {
+        return Ok(());
+    };
+    let place = PlaceWire::from(&own.state);
+    let leads = place.rank == 0;
+    link.send(&GroupMessage::Place(place)).await?;
+    while leads {
+        let load = group.load.borrow_and_update().clone();
+        if let Some(load) = load {
+            link.send(&GroupMessage::Load(load)).await?;
+        }
+        tokio::time::sleep(LOAD_PAUSE).await;
+        group.load.changed().await.map_err(std::io::Error::other)?;
+    }
+    Ok(())
+}
+
 /// What the leader at the other end of a link was told.
 #[derive(Default)]
 struct Told {
     place: Option<PlaceWire>,
     view: Option<ViewWire>,
+    load: Option<LoadWire>,
     experts: Option<ExpertsWire>,
 }
 
 /// Reports this rank to a leader and takes its orders.
-async fn report(mut link: Link, mut member: MemberHandle) -> std::io::Result<()> {
+async fn report(
+    mut link: Link,
+    mut member: MemberHandle,
+    group: GroupHandle,
+) -> std::io::Result<()> {
     let mut counts = member.counts();
     let mut told = Told::default();
     tell(&mut link, &mut told, &member).await?;
@@ -114,23 +177,29 @@
                 Err(RecvError::Lagged(_)) => {}
                 Err(RecvError::Closed) => return Ok(()),
             },
-            order = link.recv::<OrderMessage>() => {
-                member.orders.send(order?).await.map_err(std::io::Error::other)?;
-            }
+            message = link.recv::<LeaderMessage>() => match message? {
+                LeaderMessage::Order(order) => {
+                    member.orders.send(order).await.map_err(std::io::Error::other)?;
+                }
+                LeaderMessage::Runners(runners) => {
+                    group.runners.send_replace(runners);
+                }
+            },
         }
     }
 }
 
 async fn tell(link: &mut Link, told: &mut Told, member: &MemberHandle) -> std::io::Result<()> {
     let own = member.own.borrow().clone();
-    let Some(OwnRank { state, experts, .. }) = own else {
+    let Some(OwnRank {
+        state,
+        experts,
+        load,
+    }) = own
+    else {
         return Ok(());
     };
-    let place = PlaceWire {
-        group: state.group,
-        rank: state.rank,
-        size: state.size,
-    };
+    let place = PlaceWire::from(&state);
     if told.place.as_ref() != Some(&place) {
         link.send(&MemberMessage::Place(place.clone())).await?;
         told.place = Some(place);
@@ -141,6 +210,11 @@
         link.send(&MemberMessage::Experts(experts.clone())).await?;
         told.experts = Some(experts);
     }
+    let load = LoadWire::from(&load);
+    if told.load != Some(load) {
+        link.send(&MemberMessage::Load(load)).await?;
+        told.load = Some(load);
+    }
     let view = ViewWire::from(&state.view);
     if told.view.as_ref() != Some(&view) {
         link.send(&MemberMessage::View(view.clone())).await?;
--- a/src/rank/member.rs
+++ b/src/rank/member.rs
@@ -160,9 +160,11 @@
     async fn obey(&mut self, message: OrderMessage) {
         self.busy_until = self.clock.now() + BUSY_AFTER_ORDER;
         let epoch = message.epoch;
+        let expect = message.expect;
         let order = RankOrder::from(message);
         let own = &self.own;
-        let done = carry_out(&mut self.api, epoch, &order, |state| publish(own, state)).await;
+        let seen = |state: &EngineState| publish(own, state);
+        let done = carry_out(&mut self.api, epoch, expect, &order, seen).await;
         match done {
             Ok(OrderResult::Done) => {}
             Ok(result) => {
@@ -224,12 +226,12 @@
         own.send_if_modified(|held| held.take().is_some());
         return;
     };
-    let load = state.load;
+    let load = state.load.clone();
     own.send_if_modified(|held| {
         let experts = held.as_ref().and_then(|held| held.experts.clone());
         let next = OwnRank {
-            state: rank,
-            load,
+            state: rank.clone(),
+            load: load.clone(),
             experts,
         };
         let changed = held.as_ref() != Some(&next);
--- a/src/rank/peers.rs
+++ b/src/rank/peers.rs
@@ -11,8 +11,9 @@
 use crate::eventlog::EventLog;
 use crate::eventlog::Weight;
 use crate::rank::link::Link;
+use crate::rank::wire::Hello;
+use crate::rank::wire::LeaderMessage;
 use crate::rank::wire::MemberMessage;
-use crate::rank::wire::OrderMessage;
 use crate::rank::wire::PlaceWire;
 
 /// Longest wait for a connection.
@@ -37,7 +38,7 @@
         /// Address of its runner.
         runner: SocketAddr,
         /// Takes orders for it.
-        orders: mpsc::Sender<OrderMessage>,
+        orders: mpsc::Sender<LeaderMessage>,
     },
     /// A message of a member.
     Message {
@@ -115,6 +116,7 @@
             .ok()?
             .ok()?;
         let mut link = Link::new(stream).ok()?;
+        link.send(&Hello::Leader).await.ok()?;
         let first = tokio::time::timeout(PLACE_TIMEOUT, link.recv())
             .await
             .ok()?
@@ -129,7 +131,7 @@
         &self,
         mut link: Link,
         rank: usize,
-        mut orders: mpsc::Receiver<OrderMessage>,
+        mut orders: mpsc::Receiver<LeaderMessage>,
     ) -> std::io::Result<()> {
         loop {
             tokio::select! {
--- /dev/null
+++ b/src/rank/resolve.rs
@@ -0,0 +1,190 @@
+//! Lets a held group go on when its leader is away.
+//!
+//! A leader that freezes or dies between a hold and the leave leaves its group
+//! standing. Any member may resolve that, since the holder's runner decides by
+//! itself whose order takes effect. A higher rank waits longer, so that mostly
+//! one acts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::future::join_all;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use wisteriawick_core::maps::HeldInput;
+use wisteriawick_core::maps::HeldOutput;
+use wisteriawick_core::maps::HeldSwitch;
+use wisteriawick_core::maps::RankOrder;
+use wisteriawick_core::time::SharedClock;
+use wisteriawick_platform::EngineState;
+use wisteriawick_platform::RunnerApi;
+
+use crate::eventlog::EventLog;
+use crate::eventlog::Weight;
+use crate::rank::api::CALL_TIMEOUT;
+use crate::rank::api::carry_out;
+use crate::rank::member::MemberHandle;
+
+/// Time without a pass, while requests run, after which a group may be held: a
+/// slow pass takes a fifth of a second.
+const STUCK_AFTER: Duration = Duration::from_millis(450);
+/// Further time for each rank, so that mostly one member acts.
+const STUCK_PER_RANK: Duration = Duration::from_millis(150);
+/// Time between two looks at the own rank.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// Time between two rounds of a resolution.
+const ROUND_EVERY: Duration = Duration::from_millis(20);
+/// Rounds of one resolution; the next one begins after another wait.
+const ROUNDS: u32 = 40;
+
+/// The task's state.
+pub(crate) struct Resolver {
+    clock: SharedClock,
+    log: EventLog,
+    member: MemberHandle,
+    runners: watch::Receiver<Vec<Option<SocketAddr>>>,
+}
+
+/// The last pass that was seen to begin.
+struct Progress {
+    pass: u64,
+    at: Instant,
+}
+
+impl Resolver {
+    pub(crate) fn new(
+        clock: SharedClock,
+        log: EventLog,
+        member: MemberHandle,
+        runners: watch::Receiver<Vec<Option<SocketAddr>>>,
+    ) -> Self {
+        Self {
+            clock,
+            log,
+            member,
+            runners,
+        }
+    }
+
+    pub(crate) async fn run(self, stop: CancellationToken) {
+        let mut progress = Progress {
+            pass: 0,
+            at: self.clock.now(),
+        };
+        loop {
+            tokio::select! {
+                () = tokio::time::sleep(LOOK_EVERY) => {}
+                () = stop.cancelled() => return,
+            }
+            if !self.is_stuck(&mut progress) {
+                continue;
+            }
+            progress.at = self.clock.now();
+            tokio::select! {
+                () = self.resolve() => {}
+                () = stop.cancelled() => return,
+            }
+        }
+    }
+
+    /// Returns whether the group stands still for longer than this rank waits.
+    fn is_stuck(&self, progress: &mut Progress) -> bool {
+        let now = self.clock.now();
+        let own = self.member.own.borrow();
+        let Some(own) = own.as_ref().filter(|own| own.state.rank > 0) else {
+            progress.at = now;
+            return false;
+        };
+        let view = &own.state.view;
+        let is_idle = own.load.running == 0;
+        if view.pass != progress.pass || !view.is_open || is_idle {
+            progress.pass = view.pass;
+            progress.at = now;
+            return false;
+        }
+        let wait = STUCK_AFTER + STUCK_PER_RANK * own.state.rank as u32;
+        now.saturating_duration_since(progress.at) >= wait
+    }
+
+    async fn resolve(&self) {
+        let runners: Option<Vec<SocketAddr>> = self.runners.borrow().iter().copied().collect();
+        let Some(runners) = runners.filter(|runners| !runners.is_empty()) else {
+            return; // The leader told no addresses yet, so it gave no orders.
+        };
+        let mut apis: Vec<RunnerApi> = runners.iter().copied().map(RunnerApi::new).collect();
+        let mut switch = HeldSwitch::new(runners.len());
+        for _ in 0..ROUNDS {
+            if !self.round(&mut switch, &mut apis).await {
+                return;
+            }
+            tokio::time::sleep(ROUND_EVERY).await;
+        }
+    }
+
+    /// Does one round; returns whether the group may still be held.
+    async fn round(&self, switch: &mut HeldSwitch, apis: &mut [RunnerApi]) -> bool {
+        let Ok(holder) = apis[0].state(CALL_TIMEOUT).await else {
+            return false;
+        };
+        let held = holder
+            .rank
+            .as_ref()
+            .is_some_and(|rank| rank.view.held.is_some());
+        if !held {
+            return false;
+        }
+        let others = apis[1..].iter_mut().map(|api| api.state(CALL_TIMEOUT));
+        let others = join_all(others).await;
+        let mut out = Vec::new();
+        self.see(switch, 0, &holder, &mut out);
+        for (at, state) in others.into_iter().enumerate() {
+            match state {
+                Ok(state) => self.see(switch, at + 1, &state, &mut out),
+                Err(_) => switch.handle(self.clock.now(), HeldInput::Lost(at + 1), &mut out),
+            }
+        }
+        for output in out {
+            self.carry(output, apis).await;
+        }
+        true
+    }
+
+    fn see(
+        &self,
+        switch: &mut HeldSwitch,
+        rank: usize,
+        state: &EngineState,
+        out: &mut Vec<HeldOutput>,
+    ) {
+        if let Some(state) = &state.rank {
+            let input = HeldInput::View(rank, state.view.clone());
+            switch.handle(self.clock.now(), input, out);
+        }
+    }
+
+    async fn carry(&self, output: HeldOutput, apis: &mut [RunnerApi]) {
+        let HeldOutput::Order {
+            rank,
+            epoch,
+            expect,
+            order,
+        } = output
+        else {
+            let fields = json!({"output": format!("{output:?}")});
+            self.log.line(Weight::Failure, "resolving_hold", fields);
+            return;
+        };
+        if !matches!(order, RankOrder::Arm { .. } | RankOrder::Go { .. }) {
+            return;
+        }
+        let done = carry_out(&mut apis[rank], epoch, expect, &order, |_| {}).await;
+        let fields = json!({
+            "rank": rank,
+            "order": format!("{order:?}"),
+            "result": format!("{done:?}"),
+        });
+        self.log.line(Weight::Failure, "resolving_hold", fields);
+    }
+}
--- a/src/rank/wire.rs
+++ b/src/rank/wire.rs
@@ -1,19 +1,71 @@
-//! Messages between a group's leader and its members (postcard).
+//! Messages between a group's leader, its members and the entries (postcard).
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
+use wisteriawick_core::gateway::LoadReport;
 use wisteriawick_core::maps::ExpertMap;
 use wisteriawick_core::maps::MapNumber;
 use wisteriawick_core::maps::RankOrder;
 use wisteriawick_core::maps::RankView;
+use wisteriawick_platform::RankState;
 
 /// Port for links between agents: the first of the ports for links.
 pub(crate) fn link_port(ports: (u16, u16)) -> u16 {
     ports.0
 }
 
+/// Who dials an agent; the first message of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Hello {
+    /// The leader of a group, who gathers and gives orders.
+    Leader,
+    /// An entry, which wants to know the load of the group.
+    Entry,
+}
+
+/// What a group's leader tells entries.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum GroupMessage {
+    /// The place of the agent that was dialled.
+    Place(PlaceWire),
+    /// The group's load.
+    Load(GroupLoadWire),
+}
+
+/// Load of a group.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct GroupLoadWire {
+    /// Whether all ranks are there.
+    pub(crate) is_open: bool,
+    /// Time of a pass of late, in microseconds; zero while none is known.
+    pub(crate) pass_us: u32,
+    /// Ranks whose state is known.
+    pub(crate) ranks: Vec<RankLoadWire>,
+}
+
+/// Load of a rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RankLoadWire {
+    /// Address of its runner.
+    pub(crate) runner: SocketAddr,
+    pub(crate) running: u16,
+    pub(crate) waiting: u16,
+    /// Slowness in thousandths.
+    pub(crate) pace_milli: u32,
+}
+
+/// What a leader tells a member.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum LeaderMessage {
+    /// An order.
+    Order(OrderMessage),
+    /// Addresses of the group's runners by rank, as far as they are known.
+    Runners(Vec<Option<SocketAddr>>),
+}
+
 /// What a member tells its leader.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum MemberMessage {
@@ -21,6 +73,8 @@
     Place(PlaceWire),
     /// Its rank's state.
     View(ViewWire),
+    /// Its runner's load.
+    Load(LoadWire),
     /// The experts that it holds.
     Experts(ExpertsWire),
     /// How often experts were chosen since the last such message.
@@ -35,6 +89,16 @@
     pub(crate) size: usize,
 }
 
+impl From<&RankState> for PlaceWire {
+    fn from(state: &RankState) -> Self {
+        Self {
+            group: state.group.clone(),
+            rank: state.rank,
+            size: state.size,
+        }
+    }
+}
+
 /// A rank's state.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ViewWire {
@@ -45,6 +109,28 @@
     prepared: Option<u64>,
     armed: Option<(u64, u64)>,
     held: Option<u64>,
+    orders: u64,
+}
+
+/// A runner's load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LoadWire {
+    pub(crate) running: u16,
+    pub(crate) waiting: u16,
+    /// Slowness in thousandths.
+    pub(crate) pace_milli: u32,
+}
+
+impl From<&LoadReport> for LoadWire {
+    fn from(load: &LoadReport) -> Self {
+        /// Thousandths of one.
+        const MILLI: f64 = 1000.0;
+        Self {
+            running: load.running.min(u16::MAX.into()) as u16,
+            waiting: load.waiting.min(u16::MAX.into()) as u16,
+            pace_milli: (load.pace * MILLI) as u32,
+        }
+    }
 }
 
 /// The experts of a rank in a map.
@@ -67,6 +153,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct OrderMessage {
     pub(crate) epoch: u64,
+    /// Number of accepted orders at which it holds; any if `None`.
+    pub(crate) expect: Option<u64>,
     order: OrderWire,
 }
 
@@ -89,7 +177,7 @@
 }
 
 impl OrderMessage {
-    pub(crate) fn new(epoch: u64, order: &RankOrder) -> Self {
+    pub(crate) fn new(epoch: u64, expect: Option<u64>, order: &RankOrder) -> Self {
         let order = match order {
             RankOrder::Prepare { number, map } => OrderWire::Prepare {
                 number: number.0,
@@ -102,7 +190,11 @@
             RankOrder::Hold { pass } => OrderWire::Hold { pass: *pass },
             RankOrder::Go { pass } => OrderWire::Go { pass: *pass },
         };
-        Self { epoch, order }
+        Self {
+            epoch,
+            expect,
+            order,
+        }
     }
 }
 
@@ -133,6 +225,7 @@
             prepared: view.prepared.map(|number| number.0),
             armed: view.armed.map(|(number, pass)| (number.0, pass)),
             held: view.held,
+            orders: view.orders,
         }
     }
 }
@@ -147,6 +240,7 @@
             prepared: wire.prepared.map(MapNumber),
             armed: wire.armed.map(|(number, pass)| (MapNumber(number), pass)),
             held: wire.held,
+            orders: wire.orders,
         }
     }
 }
