Choose runners by load alone

Cause: every entry learns a group's pace at the same time, so a weight for it sends all of them to the same group.

--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -34,9 +34,6 @@
 const RATE_WINDOW: Duration = Duration::from_secs(2);
 /// Age at which a load report says nothing any more.
 const REPORT_LIFE: Duration = Duration::from_millis(1500);
-/// Time of a pass that weighs as much as a full runner: with it, pauses
-/// between events of a stream become late.
-const SLOW_PASS: Duration = Duration::from_millis(120);
 /// Load that a runner's slowness after its start is worth.
 const COLD_PENALTY: f64 = 0.5;
 /// Slowness of one runner that another data centre is worth.
@@ -393,16 +390,11 @@
     }
 
     /// Returns how loaded a runner is, as requests at it for each slot, with
-    /// the pace of its group and the distance added.
+    /// the distance added. The pace of its group is left out: entries learn it
+    /// at the same time and would run after the faster group together.
     fn cost(&self, now: Instant, runner: &Runner) -> f64 {
         let slots = f64::from(runner.listed.slots.max(1));
         let held = f64::from(runner.held(now)) / slots;
-        let pass = runner
-            .fresh_report(now)
-            .and_then(|report| report.load.group.as_ref())
-            .map_or(0.0, |group| {
-                group.pass.as_secs_f64() / SLOW_PASS.as_secs_f64()
-            });
         let far = match runner.listed.place == self.place {
             true => 0.0,
             false => FAR_PENALTY / slots,
@@ -411,7 +403,7 @@
             true => 0.0,
             false => COLD_PENALTY,
         };
-        held + pass + far + cold + f64::from(runner.failures)
+        held + far + cold + f64::from(runner.failures)
     }
 
     fn latest_start(&self, work: &Work) -> Instant {
