--- /dev/null
+++ b/crates/core/tests/copy_plan.rs
@@ -0,0 +1,83 @@
+//! Small plans for expert maps.
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use wisteriawick_core::maps::CopyBounds;
+use wisteriawick_core::maps::ExpertLoads;
+use wisteriawick_core::maps::ExpertMap;
+use wisteriawick_core::maps::plan_copies;
+use wisteriawick_core::maps::skew;
+
+const SETS: usize = 6;
+const RANKS: usize = 8;
+const EXPERTS: usize = 64;
+const BOUNDS: CopyBounds = CopyBounds {
+    experts: EXPERTS,
+    places: 11,
+    new_per_set: 4,
+    new_per_rank: 3,
+    min_saving: 0.004,
+};
+
+/// Popularity that falls with the rank of an expert in a drawn order.
+fn skewed(rng: &mut SmallRng) -> ExpertLoads {
+    let mut set = || -> Vec<f64> {
+        (0..EXPERTS)
+            .map(|_| rng.random::<f64>().powi(6) * 1000.0 + 5.0)
+            .collect()
+    };
+    (0..SETS).map(|_| set()).collect()
+}
+
+#[test]
+fn plans_are_sound_and_help_whatever_is_popular() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut map = ExpertMap::in_turn(SETS, RANKS, EXPERTS);
+    for _ in 0..40 {
+        let loads = skewed(&mut rng);
+        let Some(plan) = plan_copies(&map, &loads, &BOUNDS) else {
+            continue;
+        };
+        for (set, former) in plan.map.sets.iter().zip(&map.sets) {
+            for expert in 0..EXPERTS as u16 {
+                assert!(set.iter().any(|rank| rank.contains(&expert)));
+            }
+            for (rank, old) in set.iter().zip(former) {
+                assert!(rank.len() <= BOUNDS.places);
+                assert!(rank.windows(2).all(|pair| pair[0] < pair[1]));
+                let new = rank.iter().filter(|expert| !old.contains(expert));
+                assert!(new.count() <= BOUNDS.new_per_set);
+            }
+        }
+        assert!(plan.most_copies <= BOUNDS.new_per_rank);
+        assert_eq!(skew(&plan.map, &loads), plan.skew.1);
+        assert!(plan.skew.1 < plan.skew.0);
+        map = (*plan.map).clone();
+    }
+}
+
+/// Popularity shifts: two plans of at most three copies a rank, each in use
+/// within half a second, take most of the skew away.
+#[test]
+fn two_small_plans_follow_a_shift() {
+    let mut rng = SmallRng::seed_from_u64(11);
+    let mut map = ExpertMap::in_turn(SETS, RANKS, EXPERTS);
+    let loads = skewed(&mut rng);
+    let before = skew(&map, &loads);
+    for _ in 0..2 {
+        if let Some(plan) = plan_copies(&map, &loads, &BOUNDS) {
+            map = (*plan.map).clone();
+        }
+    }
+    let after = skew(&map, &loads);
+    assert!(before > 1.6, "{before}");
+    assert!(after < 1.25, "{after}");
+}
+
+#[test]
+fn even_loads_are_left_alone() {
+    let map = ExpertMap::in_turn(SETS, RANKS, EXPERTS);
+    let loads = vec![vec![100.0; EXPERTS]; SETS];
+    assert_eq!(plan_copies(&map, &loads, &BOUNDS), None);
+}
--- /dev/null
+++ b/crates/core/tests/gateway_events.rs
@@ -0,0 +1,68 @@
+//! Streams of events are passed on whole and in order.
+
+use wisteriawick_core::gateway::EventSplitter;
+use wisteriawick_core::gateway::StreamCheck;
+use wisteriawick_core::gateway::StreamFault;
+
+fn event(number: u64) -> Vec<u8> {
+    format!("id: {number}\ndata: tokens {number}\n\n").into_bytes()
+}
+
+#[test]
+fn events_come_whole_however_the_bytes_are_cut() {
+    let stream: Vec<u8> = (1..6).flat_map(event).collect();
+    bolero::check!()
+        .with_iterations(500)
+        .with_type::<Vec<u8>>()
+        .for_each(|cuts| {
+            let mut splitter = EventSplitter::default();
+            let mut got = Vec::new();
+            let mut rest = stream.as_slice();
+            for cut in cuts.iter().map(|cut| usize::from(*cut)).chain([usize::MAX]) {
+                let (now, later) = rest.split_at(cut.min(rest.len()));
+                rest = later;
+                splitter.push(now).expect("small");
+                while let Some(event) = splitter.next_event() {
+                    got.push(event.to_vec());
+                }
+            }
+            let expected: Vec<Vec<u8>> = (1..6).map(event).collect();
+            assert_eq!(got, expected);
+            assert!(!splitter.is_within_event());
+        });
+}
+
+#[test]
+fn a_piece_of_an_event_is_not_an_event() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\ndata: x\n").expect("small");
+    assert_eq!(splitter.next_event(), None);
+    assert!(splitter.is_within_event());
+}
+
+#[test]
+fn both_line_ends_are_taken() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\r\ndata: x\r\n\r\nid: 2\r\n").expect("small");
+    let first = splitter.next_event().expect("whole");
+    assert!(first.ends_with(b"\r\n\r\n"));
+    assert!(StreamCheck::default().take(&first).is_ok());
+}
+
+#[test]
+fn a_missing_or_doubled_event_is_noticed() {
+    let mut check = StreamCheck::after(Some(4));
+    assert!(check.take(&event(5)).is_ok());
+    assert_eq!(check.take(&event(5)), Err(StreamFault::OutOfOrder));
+    assert_eq!(check.take(&event(7)), Err(StreamFault::OutOfOrder));
+    assert_eq!(check.take(b"data: x\n\n"), Err(StreamFault::OutOfOrder));
+    assert_eq!(check.last(), Some(5));
+}
+
+#[test]
+fn an_endless_event_is_refused() {
+    let mut splitter = EventSplitter::default();
+    let piece = vec![b'x'; 64 * 1024];
+    let refused = (0..64).any(|_| splitter.push(&piece) == Err(StreamFault::TooLarge));
+    assert!(refused);
+}
--- /dev/null
+++ b/crates/core/tests/gateway_pool.rs
@@ -0,0 +1,249 @@
+//! Where requests run, wait or are turned away, by load patterns.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use wisteriawick_core::gateway::Admission;
+use wisteriawick_core::gateway::GroupReport;
+use wisteriawick_core::gateway::LoadReport;
+use wisteriawick_core::gateway::Pool;
+use wisteriawick_core::gateway::PoolLimits;
+use wisteriawick_core::gateway::Roster;
+use wisteriawick_core::gateway::RunnerStatus;
+use wisteriawick_core::gateway::TicketId;
+use wisteriawick_core::gateway::Work;
+use wisteriawick_core::hosting::ListedRunner;
+use wisteriawick_core::hosting::ListedState;
+use wisteriawick_core::ids::RunnerId;
+
+const LIMITS: PoolLimits = PoolLimits {
+    per_runner: 12,
+    unreported: 3,
+    waiting: 8,
+    wait_share: 0.5,
+};
+
+fn address(n: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, n], 80))
+}
+
+fn runner(n: u8) -> ListedRunner {
+    ListedRunner {
+        id: format!("r{n}").as_str().into(),
+        service: "s".into(),
+        address: address(n),
+        place: "here".into(),
+        slots: 12,
+        state: ListedState::Ready,
+        cold: Duration::ZERO,
+        born_ms: Some(1),
+    }
+}
+
+fn work(now: Instant, ticket: u64) -> Work {
+    Work {
+        ticket: TicketId(ticket),
+        priority: 1,
+        on_time: now + Duration::from_millis(400),
+        deadline: now + Duration::from_secs(2),
+        excluded: Vec::new(),
+    }
+}
+
+fn pool(now: Instant, runners: u8) -> Pool {
+    let mut pool = Pool::new(now, "here".into(), LIMITS);
+    pool.set_runners((0..runners).map(runner).collect());
+    pool
+}
+
+fn report(running: u32, is_open: bool) -> LoadReport {
+    LoadReport {
+        running,
+        waiting: 0,
+        pace: 1.0,
+        group: Some(GroupReport {
+            name: "g".into(),
+            is_open,
+            pass: Duration::from_millis(40),
+        }),
+    }
+}
+
+fn chosen(admission: Admission) -> Option<RunnerId> {
+    match admission {
+        Admission::Run(candidate) => Some(candidate.runner.id),
+        _ => None,
+    }
+}
+
+#[test]
+fn without_reports_each_entry_takes_its_part_of_a_runner() {
+    let now = Instant::now();
+    let mut pool = pool(now, 2);
+    for ticket in 0..6 {
+        assert!(chosen(pool.admit(now, work(now, ticket))).is_some());
+    }
+    assert_eq!(pool.admit(now, work(now, 6)), Admission::Wait);
+}
+
+/// Entries restart one after the other: those that are left must use what the
+/// others leave free, and not a fixed part.
+#[test]
+fn with_reports_an_entry_uses_what_others_leave_free() {
+    let now = Instant::now();
+    let mut pool = pool(now, 1);
+    pool.report(now, address(0), &report(4, true));
+    let taken = (0..20)
+        .filter(|ticket| chosen(pool.admit(now, work(now, *ticket))).is_some())
+        .count();
+    assert_eq!(taken, 8);
+}
+
+#[test]
+fn an_old_report_says_nothing() {
+    let now = Instant::now();
+    let mut pool = pool(now, 1);
+    pool.report(now, address(0), &report(0, true));
+    let later = now + Duration::from_secs(3);
+    let taken = (0..20)
+        .filter(|ticket| chosen(pool.admit(later, work(later, *ticket))).is_some())
+        .count();
+    assert_eq!(taken, 3);
+}
+
+#[test]
+fn the_least_loaded_runner_is_chosen() {
+    let now = Instant::now();
+    let mut pool = pool(now, 3);
+    for (n, running) in [(0, 5), (1, 2), (2, 7)] {
+        pool.report(now, address(n), &report(running, true));
+    }
+    let id = chosen(pool.admit(now, work(now, 1)));
+    assert_eq!(id, Some("r1".into()));
+}
+
+/// A group lost a rank: its runners refuse at once. Requests wait for the
+/// group to form again; they don't spend their attempts on its other ranks.
+#[test]
+fn a_refusal_by_a_runner_with_room_rests_its_whole_group() {
+    let now = Instant::now();
+    let mut pool = pool(now, 4);
+    for n in 0..4 {
+        pool.report(now, address(n), &report(1, true));
+    }
+    let id = chosen(pool.admit(now, work(now, 1))).expect("room");
+    assert!(pool.ended(now, &id, RunnerStatus::Busy).is_empty());
+    assert_eq!(pool.admit(now, work(now, 2)), Admission::Wait);
+    let later = now + Duration::from_millis(200);
+    let wakes = pool.wake(later);
+    assert_eq!(wakes.len(), 1);
+    assert!(matches!(wakes[0].admission, Admission::Run(_)));
+}
+
+#[test]
+fn a_closed_group_takes_no_work() {
+    let now = Instant::now();
+    let mut pool = pool(now, 1);
+    pool.report(now, address(0), &report(0, false));
+    assert_eq!(pool.admit(now, work(now, 1)), Admission::Wait);
+    pool.report(now, address(0), &report(0, true));
+    assert_eq!(pool.wake(now).len(), 1);
+}
+
+#[test]
+fn the_most_urgent_goes_first_and_a_request_whose_time_is_over_is_told() {
+    let now = Instant::now();
+    let mut pool = pool(now, 1);
+    let mut ids = Vec::new();
+    for ticket in 0..3 {
+        ids.extend(chosen(pool.admit(now, work(now, ticket))));
+    }
+    let urgent = Work {
+        priority: 0,
+        ..work(now, 11)
+    };
+    assert_eq!(pool.admit(now, work(now, 10)), Admission::Wait);
+    assert_eq!(pool.admit(now, urgent), Admission::Wait);
+    let wakes = pool.ended(now, &ids[0], RunnerStatus::Served);
+    assert_eq!(wakes[0].ticket, TicketId(11));
+    let late = pool.wake(now + Duration::from_secs(2));
+    assert_eq!(late.len(), 1);
+    assert!(matches!(late[0].admission, Admission::Refuse { .. }));
+}
+
+#[test]
+fn beyond_what_can_wait_requests_are_turned_away_at_once() {
+    let now = Instant::now();
+    let mut pool = pool(now, 0);
+    for ticket in 0..8 {
+        assert_eq!(pool.admit(now, work(now, ticket)), Admission::Wait);
+    }
+    let refused = pool.admit(now, work(now, 9));
+    assert!(matches!(refused, Admission::Refuse { retry_after } if !retry_after.is_zero()));
+}
+
+#[test]
+fn a_runner_that_fails_is_left_out_and_tried_again() {
+    let now = Instant::now();
+    let mut pool = pool(now, 1);
+    for ticket in 0..2 {
+        let id = chosen(pool.admit(now, work(now, ticket))).expect("room");
+        pool.ended(now, &id, RunnerStatus::Failed);
+    }
+    assert_eq!(pool.admit(now, work(now, 3)), Admission::Wait);
+    let later = now + Duration::from_millis(600);
+    assert_eq!(pool.wake(later).len(), 1);
+}
+
+#[test]
+fn a_leaving_or_reborn_runner_is_told_apart() {
+    let now = Instant::now();
+    let mut pool = pool(now, 1);
+    let leaving = ListedRunner {
+        state: ListedState::Leaving,
+        ..runner(0)
+    };
+    pool.set_runners(vec![leaving]);
+    assert_eq!(pool.admit(now, work(now, 1)), Admission::Wait);
+    pool.cancel(TicketId(1));
+    pool.set_runners(vec![runner(0)]);
+    for ticket in 2..4 {
+        let id = chosen(pool.admit(now, work(now, ticket))).expect("room");
+        pool.ended(now, &id, RunnerStatus::Failed);
+    }
+    let reborn = ListedRunner {
+        born_ms: Some(2),
+        ..runner(0)
+    };
+    pool.set_runners(vec![reborn]);
+    assert!(chosen(pool.admit(now, work(now, 5))).is_some());
+}
+
+#[test]
+fn entries_that_lapse_in_an_outage_of_the_store_are_kept_for_a_while() {
+    let now = Instant::now();
+    let at = |ms| now + Duration::from_millis(ms);
+    let mut roster = Roster::default();
+    roster.heard(now);
+    roster.list(now, vec![runner(0), runner(1)]);
+    roster.lost_contact(at(3_000));
+    roster.heard(at(5_000));
+    roster.list(at(5_000), vec![runner(0)]);
+    assert_eq!(roster.all().count(), 2, "runner 1 may register again");
+    roster.remove(at(5_100), &"r0".into());
+    roster.write(runner(1));
+    assert_eq!(roster.expire(at(7_300)), 1);
+    let left: Vec<_> = roster.all().map(|held| held.id.clone()).collect();
+    assert_eq!(left, vec![RunnerId::from("r1")]);
+}
+
+#[test]
+fn without_an_outage_a_removed_entry_is_gone() {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    roster.heard(now);
+    roster.list(now, vec![runner(0)]);
+    roster.remove(now, &"r0".into());
+    assert_eq!(roster.all().count(), 0);
+}
--- /dev/null
+++ b/crates/core/tests/gateway_request.rs
@@ -0,0 +1,226 @@
+//! What a request may do: routes and keys, repeats, budgets, strikes.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use wisteriawick_core::collections::HashMap;
+use wisteriawick_core::gateway::AttemptOutcome;
+use wisteriawick_core::gateway::CallerLimits;
+use wisteriawick_core::gateway::Declaration;
+use wisteriawick_core::gateway::Denied;
+use wisteriawick_core::gateway::Latest;
+use wisteriawick_core::gateway::NextStep;
+use wisteriawick_core::gateway::Repeat;
+use wisteriawick_core::gateway::RepeatBudget;
+use wisteriawick_core::gateway::RequestPlan;
+use wisteriawick_core::gateway::Route;
+use wisteriawick_core::gateway::Share;
+use wisteriawick_core::gateway::Strikes;
+use wisteriawick_core::gateway::Tenancy;
+use wisteriawick_core::ids::Fingerprint;
+
+const LIMITS: CallerLimits = CallerLimits {
+    head_bytes: 16_384,
+    body_bytes: 1 << 20,
+    head_time: Duration::from_secs(3),
+    idle_time: Duration::from_secs(15),
+};
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "a.example".into(),
+        prefix: prefix.into(),
+        shares: vec![Share {
+            service: "s".into(),
+            weight: 1,
+        }],
+        repeat: Repeat::Never,
+        streams: false,
+        max_attempts: 2,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        pause: None,
+        priority: 1,
+        anonymous: false,
+    }
+}
+
+fn declaration(version: u64, routes: Vec<Route>) -> Declaration {
+    let mut keys = HashMap::default();
+    let tenancy = Tenancy {
+        workspace: "gwydr".into(),
+        priority: Some(0),
+    };
+    keys.insert("key".to_string(), tenancy);
+    Declaration::new(version, Vec::new(), routes, Some(keys), LIMITS)
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_takes_a_request() {
+    let held = declaration(1, vec![route("short", "/a/"), route("long", "/a/b/")]);
+    let taken = |path: &str| {
+        let permit = held.permit("A.Example", path, Some("key"));
+        permit.map(|permit| permit.route.name.clone())
+    };
+    assert_eq!(taken("/a/b/c").as_deref(), Ok("long"));
+    assert_eq!(taken("/a/bc").as_deref(), Ok("short"));
+    assert_eq!(taken("/b/"), Err(Denied::NoRoute));
+    let other_host = held.permit("b.example", "/a/", Some("key"));
+    assert_eq!(other_host.err(), Some(Denied::NoRoute));
+}
+
+#[test]
+fn a_key_that_no_workspace_holds_is_denied_and_anonymous_routes_need_none() {
+    let open = Route {
+        anonymous: true,
+        ..route("open", "/open/")
+    };
+    let held = declaration(1, vec![route("shut", "/a/"), open]);
+    for key in [None, Some("other")] {
+        let denied = held.permit("a.example", "/a/", key);
+        assert_eq!(denied.err(), Some(Denied::UnknownKey));
+        assert!(held.permit("a.example", "/open/", key).is_ok());
+    }
+    let permit = held.permit("a.example", "/a/", Some("key")).expect("held");
+    assert_eq!(permit.priority(), 0, "the workspace's rank goes first");
+}
+
+#[test]
+fn a_route_is_split_by_weight() {
+    let split = Route {
+        shares: vec![
+            Share {
+                service: "a".into(),
+                weight: 9,
+            },
+            Share {
+                service: "b".into(),
+                weight: 1,
+            },
+        ],
+        ..route("split", "/")
+    };
+    let to_b = (0..100)
+        .map(|n| f64::from(n) / 100.0)
+        .filter(|draw| split.service_for(*draw) == Some(&"b".into()))
+        .count();
+    assert_eq!(to_b, 10);
+}
+
+#[test]
+fn a_declaration_never_goes_back() {
+    let mut latest = Latest::default();
+    assert!(latest.offer(declaration(7, vec![])));
+    assert!(!latest.offer(declaration(7, vec![route("again", "/")])));
+    assert!(!latest.offer(declaration(3, vec![])), "a stale read");
+    assert!(latest.offer(declaration(12, vec![])), "numbers grow unevenly");
+    assert_eq!(latest.get().map(|held| held.version()), Some(12));
+}
+
+#[test]
+fn a_request_that_runs_at_most_once_is_sent_again_only_on_evidence() {
+    let now = Instant::now();
+    let plan = RequestPlan::new(false, 3, now + Duration::from_secs(1));
+    let next = |outcome| {
+        let mut plan = plan;
+        plan.next(now, outcome, || true)
+    };
+    assert_eq!(next(AttemptOutcome::NotSent), NextStep::Again);
+    assert_eq!(next(AttemptOutcome::NotRun), NextStep::Again);
+    assert_eq!(next(AttemptOutcome::Unknown), NextStep::Unknown);
+    assert_eq!(next(AttemptOutcome::Failed), NextStep::PassOn);
+}
+
+#[test]
+fn not_run_is_never_said_of_a_request_that_may_have_run() {
+    let now = Instant::now();
+    let mut plan = RequestPlan::new(true, 2, now + Duration::from_secs(1));
+    assert_eq!(
+        plan.next(now, AttemptOutcome::Unknown, || true),
+        NextStep::Again
+    );
+    // The second runner refuses; the first may have run it all the same.
+    assert_eq!(
+        plan.next(now, AttemptOutcome::NotRun, || true),
+        NextStep::Unknown
+    );
+}
+
+#[test]
+fn attempts_time_and_budget_bound_what_is_sent_again() {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(1);
+    let mut last = RequestPlan::new(true, 1, deadline);
+    assert_eq!(
+        last.next(now, AttemptOutcome::NotRun, || true),
+        NextStep::Refuse
+    );
+    let mut late = RequestPlan::new(true, 3, deadline);
+    assert_eq!(
+        late.next(deadline, AttemptOutcome::NotRun, || true),
+        NextStep::Refuse
+    );
+    let mut poor = RequestPlan::new(true, 3, deadline);
+    assert_eq!(
+        poor.next(now, AttemptOutcome::Unknown, || false),
+        NextStep::Unknown
+    );
+    let mut unsent = RequestPlan::new(true, 1, deadline);
+    let spend = || panic!("what was not sent costs nothing");
+    assert_eq!(
+        unsent.next(now, AttemptOutcome::NotSent, spend),
+        NextStep::Again
+    );
+}
+
+/// Four entries with uneven traffic spend all they may: in no window do they
+/// exceed the bound together.
+#[test]
+fn entries_keep_the_bound_on_repeats_together() {
+    const WINDOW: Duration = Duration::from_secs(10);
+    const STEP: Duration = Duration::from_millis(50);
+    const RATIO: f64 = 0.2;
+    const EXTRA: u32 = 88;
+    let start = Instant::now();
+    let mut entries = vec![RepeatBudget::new(RATIO, EXTRA, 4, WINDOW); 4];
+    let mut requests = Vec::new();
+    let mut repeats = Vec::new();
+    for tick in 0..1_200u32 {
+        let now = start + STEP * tick;
+        for (at, entry) in entries.iter_mut().enumerate() {
+            if tick % (at as u32 + 1) == 0 {
+                entry.request(now);
+                requests.push(now);
+            }
+            while entry.try_repeat(now) {
+                repeats.push(now);
+            }
+        }
+    }
+    let within = |times: &[Instant], from: Instant| {
+        let held = times.iter().filter(|at| **at >= from && **at < from + WINDOW);
+        held.count() as f64
+    };
+    for tick in 0..1_000 {
+        let from = start + STEP * tick;
+        let bound = RATIO * within(&requests, from) + f64::from(EXTRA);
+        assert!(within(&repeats, from) <= bound, "window {tick}");
+    }
+}
+
+#[test]
+fn a_request_that_crashes_two_runners_is_stopped_and_an_answer_clears_it() {
+    let now = Instant::now();
+    let mut strikes = Strikes::default();
+    let (bad, good) = (Fingerprint(1), Fingerprint(2));
+    strikes.record(now, bad);
+    strikes.record(now, good);
+    strikes.clear(good);
+    strikes.record(now, bad);
+    strikes.record(now, good);
+    assert!(strikes.is_blocked(now, bad));
+    assert!(!strikes.is_blocked(now, good));
+    let later = now + Duration::from_secs(61);
+    assert!(!strikes.is_blocked(later, bad), "it is tried again later");
+}
