Prove map changes behind a hold by drawn faults; let a thawed leader go on

The world: four ranks whose orders are lost, late and doubled, a leader that freezes and dies between any two steps, groups that break, members that resolve at the same time.

Arms without a hold, leave before all are armed and orders that expect nothing are caught.

--- a/crates/core/src/maps/held_switch.rs
+++ b/crates/core/src/maps/held_switch.rs
@@ -371,6 +371,13 @@
         let Some(holder) = self.holder() else {
             return false;
         };
+        if holder.pass >= pass && holder.held.is_none() {
+            // Somebody else carried the change through while this agent stood
+            // still.
+            let held = now.saturating_duration_since(since);
+            self.phase = Phase::Settling { number, pass, held };
+            return true;
+        }
         if !order.is_done(holder) {
             if let Some((other, armed_pass)) = holder.armed
                 && armed_pass == pass
--- a/crates/core/tests/gateway_events.rs
+++ b/crates/core/tests/gateway_events.rs
@@ -43,7 +43,9 @@
 #[test]
 fn both_line_ends_are_taken() {
     let mut splitter = EventSplitter::default();
-    splitter.push(b"id: 1\r\ndata: x\r\n\r\nid: 2\r\n").expect("small");
+    splitter
+        .push(b"id: 1\r\ndata: x\r\n\r\nid: 2\r\n")
+        .expect("small");
     let first = splitter.next_event().expect("whole");
     assert!(first.ends_with(b"\r\n\r\n"));
     assert!(StreamCheck::default().take(&first).is_ok());
--- a/crates/core/tests/gateway_request.rs
+++ b/crates/core/tests/gateway_request.rs
@@ -114,7 +114,10 @@
     assert!(latest.offer(declaration(7, vec![])));
     assert!(!latest.offer(declaration(7, vec![route("again", "/")])));
     assert!(!latest.offer(declaration(3, vec![])), "a stale read");
-    assert!(latest.offer(declaration(12, vec![])), "numbers grow unevenly");
+    assert!(
+        latest.offer(declaration(12, vec![])),
+        "numbers grow unevenly"
+    );
     assert_eq!(latest.get().map(|held| held.version()), Some(12));
 }
 
@@ -199,7 +202,9 @@
         }
     }
     let within = |times: &[Instant], from: Instant| {
-        let held = times.iter().filter(|at| **at >= from && **at < from + WINDOW);
+        let held = times
+            .iter()
+            .filter(|at| **at >= from && **at < from + WINDOW);
         held.count() as f64
     };
     for tick in 0..1_000 {
--- /dev/null
+++ b/crates/faults/src/held/actor.rs
@@ -0,0 +1,125 @@
+//! An agent that runs the switch over what it sees of all ranks.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use wisteriawick_core::maps::ExpertMap;
+use wisteriawick_core::maps::HeldInput;
+use wisteriawick_core::maps::HeldOutput;
+use wisteriawick_core::maps::HeldSwitch;
+use wisteriawick_core::maps::MapNumber;
+use wisteriawick_core::maps::RankOrder;
+use wisteriawick_core::maps::RankView;
+
+use crate::held::HeldSabotage;
+use crate::held::rank::SentOrder;
+
+/// An agent.
+pub(crate) struct Actor {
+    switch: HeldSwitch,
+    sabotage: Option<HeldSabotage>,
+    /// What it saw last, by rank; orders expect what was seen.
+    seen: Vec<Option<RankView>>,
+    pub(crate) frozen_until_ms: u64,
+    /// Outputs that it had decided on when it froze.
+    decided: Vec<HeldOutput>,
+    pub(crate) switched: u32,
+}
+
+impl Actor {
+    pub(crate) fn new(ranks: usize, sabotage: Option<HeldSabotage>) -> Self {
+        Self {
+            switch: HeldSwitch::new(ranks),
+            sabotage,
+            seen: vec![None; ranks],
+            frozen_until_ms: 0,
+            decided: Vec::new(),
+            switched: 0,
+        }
+    }
+
+    /// Takes a rank's state, and keeps what it decides for [`Actor::orders`].
+    pub(crate) fn see(&mut self, now: Instant, rank: usize, view: RankView) {
+        self.seen[rank] = Some(view.clone());
+        let input = HeldInput::View(rank, view);
+        self.switch.handle(now, input, &mut self.decided);
+    }
+
+    /// Proposes a map if nothing is under way; returns whether it did.
+    pub(crate) fn propose(&mut self, now: Instant, number: MapNumber) -> bool {
+        if self.switch.idle_map().is_none() {
+            return false;
+        }
+        let map = Arc::new(ExpertMap { sets: Vec::new() });
+        let input = HeldInput::Propose(number, map);
+        self.switch.handle(now, input, &mut self.decided);
+        true
+    }
+
+    /// Lets time pass.
+    pub(crate) fn tick(&mut self, now: Instant) {
+        self.switch.handle(now, HeldInput::Tick, &mut self.decided);
+    }
+
+    /// Returns the orders that it decided on, by rank.
+    pub(crate) fn orders(&mut self) -> Vec<(usize, SentOrder)> {
+        let mut orders = Vec::new();
+        for output in std::mem::take(&mut self.decided) {
+            match output {
+                HeldOutput::Order {
+                    rank,
+                    epoch,
+                    expect,
+                    order,
+                } => self.push(&mut orders, rank, epoch, expect, order),
+                HeldOutput::Switched { .. } => self.switched += 1,
+                HeldOutput::GaveUp { .. } | HeldOutput::FoundHold { .. } => {}
+            }
+        }
+        orders
+    }
+
+    fn push(
+        &self,
+        orders: &mut Vec<(usize, SentOrder)>,
+        rank: usize,
+        epoch: u64,
+        expect: Option<u64>,
+        order: RankOrder,
+    ) {
+        let sent = |rank: usize, expect: Option<u64>, order: RankOrder| {
+            // An agent reads the rank's state before it sends; what it saw
+            // last is as old as that may get.
+            let seen = self.seen[rank].as_ref().map(|view| view.orders);
+            let expect = match self.sabotage {
+                Some(HeldSabotage::NoExpectation) => None,
+                _ => expect.or(seen),
+            };
+            let sent = SentOrder {
+                epoch,
+                expect,
+                order,
+            };
+            (rank, sent)
+        };
+        match (self.sabotage, &order) {
+            (Some(HeldSabotage::NoHold), RankOrder::Hold { pass }) => {
+                let holder = self.seen[rank].as_ref();
+                if let Some(number) = holder.and_then(|view| view.prepared) {
+                    let arm = RankOrder::Arm {
+                        number,
+                        pass: *pass,
+                    };
+                    let ranks = 0..self.seen.len();
+                    orders.extend(ranks.map(|rank| sent(rank, None, arm.clone())));
+                }
+            }
+            (Some(HeldSabotage::EarlyGo), RankOrder::Arm { pass, .. }) if rank > 0 => {
+                let go = RankOrder::Go { pass: *pass };
+                orders.push(sent(rank, expect, order));
+                orders.push(sent(0, None, go));
+            }
+            _ => orders.push(sent(rank, expect, order)),
+        }
+    }
+}
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -7,6 +7,7 @@
 //! scenario has a handful of processes and a few seconds of its own time.
 
 mod fault;
+mod held;
 mod maps;
 mod matrix;
 mod outage;
@@ -19,6 +20,10 @@
 pub use fault::Sabotage;
 pub use fault::Step;
 pub use fault::StepClass;
+pub use held::HeldFaults;
+pub use held::HeldReport;
+pub use held::HeldSabotage;
+pub use held::run_held;
 pub use matrix::Matrix;
 pub use matrix::Promise;
 pub use matrix::Scenario;
