--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -107,7 +107,11 @@
 /// or the first event of a stream after `last_event`.
 pub(crate) async fn start(exchange: &Exchange, mut slot: Slot, last_event: Option<u64>) -> Opened {
     let patience = patience(exchange);
-    let opened = tokio::time::timeout(patience, open(exchange, &mut slot, last_event)).await;
+    let opening = open(exchange, &mut slot, last_event);
+    let opened = match patience {
+        Some(patience) => tokio::time::timeout(patience, opening).await,
+        None => Ok(opening.await),
+    };
     match opened {
         Ok(Ok(Reply::Whole(whole))) => Opened::Whole(whole),
         Ok(Ok(Reply::Stream(stream))) => Opened::Stream(OpenStream {
@@ -126,23 +130,24 @@
         Ok(Err(ended)) => Opened::Ended(ended),
         Err(_) => {
             slot.set_status(RunnerStatus::Failed);
-            let detail = format!("nothing within {} ms", patience.as_millis());
+            let waited = patience.unwrap_or_default().as_millis();
+            let detail = format!("nothing within {waited} ms");
             Opened::Ended(Ended::new(AttemptOutcome::Unknown, detail))
         }
     }
 }
 
-/// Returns how long this attempt may go without anything; the time of the
-/// whole request bounds it besides.
-fn patience(exchange: &Exchange) -> Duration {
+/// Returns how long this attempt may go without anything before another is
+/// made; `None` leaves that to the time of the whole request.
+fn patience(exchange: &Exchange) -> Option<Duration> {
     let route = &exchange.permit.route;
     let left = exchange
         .deadline
         .saturating_duration_since(exchange.hub.now());
     match route.repeat {
-        Repeat::Never => left,
-        Repeat::Idempotent => left.mul_f64(IDEMPOTENT_PATIENCE).max(route.objective),
-        Repeat::Resume => FIRST_EVENT_PATIENCE.max(route.objective),
+        Repeat::Never => None,
+        Repeat::Idempotent => Some(left.mul_f64(IDEMPOTENT_PATIENCE).max(route.objective)),
+        Repeat::Resume => Some(FIRST_EVENT_PATIENCE.max(route.objective)),
     }
 }
 
