Release a held pass only when all ranks are armed, whoever finds the hold

Now a held pass begins only with all ranks armed, so leave is safe however late; a hold without a ready map gets one of the same content under a new number. The fault world counts no orders and shows members old reports; releasing without arming, the fault itself, is caught by it.

Also seen: while a whole machine is frozen its runner cannot be reached, so a group whose holder's machine freezes in a hold stands until it thaws.

--- a/crates/core/src/maps/held_switch.rs
+++ b/crates/core/src/maps/held_switch.rs
@@ -1,18 +1,17 @@
 //! Changes a group's expert map at one pass, where orders get lost and are
 //! carried out late.
 //!
-//! Rank 0, the holder, holds a pass. Then it is armed for that pass, then all
-//! other ranks are, and only when every rank's own report shows that does the
-//! pass get leave to begin. Armed ranks are never disarmed: an arm whose fate
-//! is unknown may still take effect until the pass begins, and none can after
-//! that, so a change that began is carried through.
+//! Rank 0, the holder, holds a pass. Then all ranks are armed for that pass,
+//! and only when every rank's own report shows that does the pass get leave to
+//! begin. A held pass never begins in any other way: an arm whose fate is
+//! unknown may still take effect until the pass begins, and none can after
+//! that. So leave, however late it comes, finds all ranks armed.
 //!
-//! Whether it began is decided at the holder alone. The order that arms it and
-//! the order that lets the pass begin without a change both expect the same
-//! number of accepted orders, so only one of them takes effect, whoever gave
-//! it and however late it comes. Other ranks are armed only once the holder's
-//! report shows its arm. That makes it safe for several agents to act at the
-//! same time: any of them may resolve a hold that another one left.
+//! Ranks are armed for the map that all of them have prepared, which none of
+//! them can change while the pass is held. Several agents that see the hold
+//! therefore do the same, and any of them may resolve a hold that another one
+//! left. Engines offer nothing to compare and set that covers these orders;
+//! the rule above needs nothing of the kind.
 //!
 //! It differs from [`Switch`](crate::maps::Switch), whose engines hold an
 //! armed pass by themselves and vote; here engines know nothing of each other.
@@ -59,8 +58,6 @@
         rank: usize,
         /// Life of the group.
         epoch: u64,
-        /// Number of accepted orders at which it holds; any if `None`.
-        expect: Option<u64>,
         /// The order.
         order: RankOrder,
     },
@@ -82,7 +79,8 @@
     FoundHold {
         /// The pass.
         pass: u64,
-        /// The map that ranks are armed for, if the change goes on.
+        /// The map that ranks are armed for; `None` if none is ready, so that
+        /// one must be proposed.
         number: Option<MapNumber>,
     },
 }
@@ -105,7 +103,7 @@
         since: Instant,
     },
     Releasing {
-        number: Option<MapNumber>,
+        number: MapNumber,
         pass: u64,
         since: Instant,
     },
@@ -124,6 +122,8 @@
     given: Vec<Option<(Instant, RankOrder)>>,
     phase: Phase,
     epoch: u64,
+    /// A held pass for which no map is ready.
+    waits_for_map: Option<u64>,
 }
 
 impl HeldSwitch {
@@ -134,20 +134,29 @@
             given: vec![None; size],
             phase: Phase::Idle,
             epoch: 0,
+            waits_for_map: None,
         }
     }
 
-    /// Returns the map that all ranks use, when nothing is under way.
+    /// Returns the group's life and the map that all ranks use, when nothing is
+    /// under way or a held pass waits for a map.
     pub fn idle_map(&self) -> Option<(u64, MapNumber)> {
         if !matches!(self.phase, Phase::Idle) {
             return None;
         }
         let views = self.all_views()?;
         let first = views.first()?;
+        let held = views.iter().any(|view| view.held.is_some());
         let same = views
             .iter()
-            .all(|view| view.map == first.map && view.armed.is_none() && view.held.is_none());
-        same.then_some((first.epoch, first.map))
+            .all(|view| view.map == first.map && view.armed.is_none());
+        (same && held == self.needs_map()).then_some((first.epoch, first.map))
+    }
+
+    /// Returns whether a held pass waits for a map, so that the next one, even
+    /// of the same content, is worth proposing.
+    pub fn needs_map(&self) -> bool {
+        self.waits_for_map.is_some()
     }
 
     /// Returns whether ranks may be armed or held, so that orders are urgent.
@@ -187,6 +196,7 @@
             self.epoch = view.epoch;
             self.give_up("the group formed again", out);
             self.given.fill(None);
+            self.waits_for_map = None;
         }
         if view.epoch == self.epoch {
             self.views[rank] = Some(view);
@@ -201,8 +211,8 @@
             Phase::Preparing { number, .. }
             | Phase::Holding { number, .. }
             | Phase::Arming { number, .. }
+            | Phase::Releasing { number, .. }
             | Phase::Settling { number, .. } => Some(number),
-            Phase::Releasing { number, .. } => number,
         };
         self.phase = Phase::Idle;
         if let Some(number) = number {
@@ -251,33 +261,46 @@
 
     /// Resolves a hold that somebody else left.
     fn look_for_hold(&mut self, now: Instant, out: &mut Vec<HeldOutput>) -> bool {
-        let Some(view) = self.holder() else {
+        let Some(pass) = self.holder().and_then(|view| view.held) else {
+            self.waits_for_map = None;
             return false;
         };
-        let Some(pass) = view.held else {
+        let Some(number) = self.map_for(pass) else {
+            if self.all_views().is_some() && self.waits_for_map != Some(pass) {
+                self.waits_for_map = Some(pass);
+                out.push(HeldOutput::FoundHold { pass, number: None });
+            }
             return false;
         };
-        // Without an arm at the holder, no other rank is armed for this pass.
-        let number = view
-            .armed
-            .filter(|(_, armed_pass)| *armed_pass == pass)
-            .map(|(number, _)| number);
-        out.push(HeldOutput::FoundHold { pass, number });
-        self.phase = match number {
-            Some(number) => Phase::Arming {
-                number,
-                pass,
-                since: now,
-            },
-            None => Phase::Releasing {
-                number: None,
-                pass,
-                since: now,
-            },
+        self.waits_for_map = None;
+        out.push(HeldOutput::FoundHold {
+            pass,
+            number: Some(number),
+        });
+        self.phase = Phase::Arming {
+            number,
+            pass,
+            since: now,
         };
         true
     }
 
+    /// Returns the map for which all ranks can be armed: one that some are
+    /// armed for already, or one that all have prepared and do not use.
+    fn map_for(&self, pass: u64) -> Option<MapNumber> {
+        let views = self.all_views()?;
+        let armed = views
+            .iter()
+            .filter_map(|view| view.armed)
+            .find(|(_, armed_pass)| *armed_pass == pass);
+        if let Some((number, _)) = armed {
+            return Some(number);
+        }
+        let number = views.first()?.prepared?;
+        let fits = |view: &&RankView| view.prepared == Some(number) && view.map != number;
+        views.iter().all(fits).then_some(number)
+    }
+
     fn prepare(
         &mut self,
         now: Instant,
@@ -286,7 +309,8 @@
         since: Instant,
         out: &mut Vec<HeldOutput>,
     ) -> bool {
-        if now.saturating_duration_since(since) > PREPARE_LIMIT {
+        let held = self.holder().and_then(|view| view.held);
+        if held.is_none() && now.saturating_duration_since(since) > PREPARE_LIMIT {
             self.give_up("the experts were not copied in time", out);
             return true;
         }
@@ -301,6 +325,7 @@
         if !views.iter().all(|view| view.prepared == Some(number)) {
             return false;
         }
+        self.waits_for_map = None;
         let pass = self.next_pass();
         self.phase = Phase::Holding { number, pass };
         true
@@ -321,33 +346,23 @@
         let Some(view) = self.holder() else {
             return false;
         };
-        match view.held {
-            Some(held) if held == pass => {
-                // Without every rank the change could not be carried through.
-                self.phase = match self.all_views() {
-                    Some(_) => Phase::Arming {
-                        number,
-                        pass,
-                        since: now,
-                    },
-                    None => Phase::Releasing {
-                        number: None,
-                        pass,
-                        since: now,
-                    },
-                };
-                return true;
-            }
-            Some(held) => {
-                // A hold for another pass that came late; nothing is armed.
-                self.phase = Phase::Releasing {
-                    number: None,
-                    pass: held,
-                    since: now,
-                };
-                return true;
-            }
-            None => {}
+        if view.map == number {
+            // Somebody else made the change; a hold of this one may still come.
+            self.phase = Phase::Settling {
+                number,
+                pass,
+                held: Duration::ZERO,
+            };
+            return true;
+        }
+        if let Some(held) = view.held {
+            // Any held pass will do, also one whose hold came late.
+            self.phase = Phase::Arming {
+                number,
+                pass: held,
+                since: now,
+            };
+            return true;
         }
         if view.pass >= pass {
             // The pass began before the hold came.
@@ -371,34 +386,13 @@
         let Some(holder) = self.holder() else {
             return false;
         };
-        if holder.pass >= pass && holder.held.is_none() {
+        if holder.map == number || holder.pass >= pass && holder.held.is_none() {
             // Somebody else carried the change through while this agent stood
             // still.
             let held = now.saturating_duration_since(since);
             self.phase = Phase::Settling { number, pass, held };
             return true;
         }
-        if !order.is_done(holder) {
-            if let Some((other, armed_pass)) = holder.armed
-                && armed_pass == pass
-            {
-                // Somebody else began a change; it is carried through.
-                self.phase = Phase::Arming {
-                    number: other,
-                    pass,
-                    since,
-                };
-                return true;
-            }
-            if holder.held != Some(pass) {
-                // Somebody else let the pass begin without a change.
-                self.give_up("the pass was released", out);
-                return true;
-            }
-            let expect = Some(holder.orders);
-            self.give_expecting(now, HOLDER, expect, order, out);
-            return false;
-        }
         self.give_missing(now, &order, out);
         let Some(views) = self.all_views() else {
             return false;
@@ -407,7 +401,7 @@
             return false;
         }
         self.phase = Phase::Releasing {
-            number: Some(number),
+            number,
             pass,
             since,
         };
@@ -417,7 +411,7 @@
     fn release(
         &mut self,
         now: Instant,
-        number: Option<MapNumber>,
+        number: MapNumber,
         pass: u64,
         since: Instant,
         out: &mut Vec<HeldOutput>,
@@ -426,20 +420,11 @@
             return false;
         };
         if view.held == Some(pass) {
-            if number.is_none() && view.armed.is_some_and(|(_, armed_pass)| armed_pass == pass) {
-                // Somebody else began the change first.
-                self.phase = Phase::Idle;
-                return true;
-            }
-            let expect = Some(view.orders);
-            self.give_expecting(now, HOLDER, expect, RankOrder::Go { pass }, out);
+            self.give(now, HOLDER, RankOrder::Go { pass }, out);
             return false;
         }
         let held = now.saturating_duration_since(since);
-        self.phase = match number {
-            Some(number) => Phase::Settling { number, pass, held },
-            None => Phase::Idle,
-        };
+        self.phase = Phase::Settling { number, pass, held };
         true
     }
 
@@ -480,17 +465,6 @@
     }
 
     fn give(&mut self, now: Instant, rank: usize, order: RankOrder, out: &mut Vec<HeldOutput>) {
-        self.give_expecting(now, rank, None, order, out);
-    }
-
-    fn give_expecting(
-        &mut self,
-        now: Instant,
-        rank: usize,
-        expect: Option<u64>,
-        order: RankOrder,
-        out: &mut Vec<HeldOutput>,
-    ) {
         let given = &mut self.given[rank];
         let repeated = given
             .as_ref()
@@ -502,7 +476,6 @@
         out.push(HeldOutput::Order {
             rank,
             epoch: self.epoch,
-            expect,
             order,
         });
     }
--- a/crates/faults/src/held.rs
+++ b/crates/faults/src/held.rs
@@ -49,8 +49,8 @@
     NoHold,
     /// The pass gets leave before all ranks are armed.
     EarlyGo,
-    /// Orders expect no number of accepted orders.
-    NoExpectation,
+    /// A hold that somebody left is released without arming.
+    ReleaseUnarmed,
 }
 
 /// What a run showed.
--- a/crates/faults/src/held/actor.rs
+++ b/crates/faults/src/held/actor.rs
@@ -18,7 +18,7 @@
 pub(crate) struct Actor {
     switch: HeldSwitch,
     sabotage: Option<HeldSabotage>,
-    /// What it saw last, by rank; orders expect what was seen.
+    /// What it saw last, by rank.
     seen: Vec<Option<RankView>>,
     pub(crate) frozen_until_ms: u64,
     /// Outputs that it had decided on when it froze.
@@ -66,42 +66,39 @@
         let mut orders = Vec::new();
         for output in std::mem::take(&mut self.decided) {
             match output {
-                HeldOutput::Order {
-                    rank,
-                    epoch,
-                    expect,
-                    order,
-                } => self.push(&mut orders, rank, epoch, expect, order),
+                HeldOutput::Order { rank, epoch, order } => {
+                    self.push(&mut orders, rank, epoch, order);
+                }
                 HeldOutput::Switched { .. } => self.switched += 1,
-                HeldOutput::GaveUp { .. } | HeldOutput::FoundHold { .. } => {}
+                HeldOutput::FoundHold { pass, .. } => self.release(&mut orders, pass),
+                HeldOutput::GaveUp { .. } => {}
             }
         }
         orders
     }
 
+    /// Leaves a hold that was found without arming, if that is to be shown.
+    fn release(&self, orders: &mut Vec<(usize, SentOrder)>, pass: u64) {
+        if self.sabotage != Some(HeldSabotage::ReleaseUnarmed) {
+            return;
+        }
+        if let Some(holder) = &self.seen[0] {
+            let sent = SentOrder {
+                epoch: holder.epoch,
+                order: RankOrder::Go { pass },
+            };
+            orders.push((0, sent));
+        }
+    }
+
     fn push(
         &self,
         orders: &mut Vec<(usize, SentOrder)>,
         rank: usize,
         epoch: u64,
-        expect: Option<u64>,
         order: RankOrder,
     ) {
-        let sent = |rank: usize, expect: Option<u64>, order: RankOrder| {
-            // An agent reads the rank's state before it sends; what it saw
-            // last is as old as that may get.
-            let seen = self.seen[rank].as_ref().map(|view| view.orders);
-            let expect = match self.sabotage {
-                Some(HeldSabotage::NoExpectation) => None,
-                _ => expect.or(seen),
-            };
-            let sent = SentOrder {
-                epoch,
-                expect,
-                order,
-            };
-            (rank, sent)
-        };
+        let sent = |order: RankOrder| SentOrder { epoch, order };
         match (self.sabotage, &order) {
             (Some(HeldSabotage::NoHold), RankOrder::Hold { pass }) => {
                 let holder = self.seen[rank].as_ref();
@@ -111,15 +108,15 @@
                         pass: *pass,
                     };
                     let ranks = 0..self.seen.len();
-                    orders.extend(ranks.map(|rank| sent(rank, None, arm.clone())));
+                    orders.extend(ranks.map(|rank| (rank, sent(arm.clone()))));
                 }
             }
             (Some(HeldSabotage::EarlyGo), RankOrder::Arm { pass, .. }) if rank > 0 => {
                 let go = RankOrder::Go { pass: *pass };
-                orders.push(sent(rank, expect, order));
-                orders.push(sent(0, None, go));
+                orders.push((rank, sent(order)));
+                orders.push((0, sent(go)));
             }
-            _ => orders.push(sent(rank, expect, order)),
+            _ => orders.push((rank, sent(order))),
         }
     }
 }
--- a/crates/faults/src/held/rank.rs
+++ b/crates/faults/src/held/rank.rs
@@ -11,7 +11,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct SentOrder {
     pub(crate) epoch: u64,
-    pub(crate) expect: Option<u64>,
     pub(crate) order: RankOrder,
 }
 
@@ -25,7 +24,6 @@
     prepared: Option<MapNumber>,
     copying: Option<(MapNumber, u64)>,
     armed: Option<(MapNumber, u64)>,
-    orders: u64,
     highest: MapNumber,
 }
 
@@ -40,7 +38,6 @@
             prepared: None,
             copying: None,
             armed: None,
-            orders: 0,
             highest: MapNumber(0),
         }
     }
@@ -55,7 +52,8 @@
             prepared: self.prepared,
             armed: self.armed,
             held: self.held,
-            orders: self.orders,
+            // The worst case: these orders are not counted.
+            orders: 0,
         }
     }
 
@@ -71,52 +69,44 @@
     /// Carries an order out, or refuses it.
     pub(crate) fn take(&mut self, now_ms: u64, sent: &SentOrder) {
         self.finish_copy(now_ms);
-        let expected = sent.expect.is_none_or(|orders| orders == self.orders);
-        if sent.epoch != self.epoch || !expected {
+        if sent.epoch != self.epoch {
             return;
         }
-        let began = match &sent.order {
+        match &sent.order {
             RankOrder::Prepare { number, .. } => self.prepare(now_ms, *number),
             RankOrder::Arm { number, pass } => self.arm(*number, *pass),
             RankOrder::Hold { pass } => self.hold(*pass),
             RankOrder::Go { pass } => self.go(*pass),
-        };
-        self.orders += u64::from(began);
+        }
     }
 
-    /// Returns whether the order begins something.
-    fn prepare(&mut self, now_ms: u64, number: MapNumber) -> bool {
+    fn prepare(&mut self, now_ms: u64, number: MapNumber) {
         if number <= self.highest || self.armed.is_some() {
-            return false;
+            return;
         }
         self.highest = number;
         self.prepared = None;
         self.copying = Some((number, now_ms + COPY_MS));
-        true
     }
 
-    fn arm(&mut self, number: MapNumber, pass: u64) -> bool {
+    fn arm(&mut self, number: MapNumber, pass: u64) {
         let fits = self.prepared == Some(number) && self.pass < pass && self.armed.is_none();
         if fits {
             self.armed = Some((number, pass));
         }
-        fits
     }
 
-    fn hold(&mut self, pass: u64) -> bool {
+    fn hold(&mut self, pass: u64) {
         let fits = self.held.is_none() && self.pass < pass;
         if fits {
             self.held = Some(pass);
         }
-        fits
     }
 
-    fn go(&mut self, pass: u64) -> bool {
-        let fits = self.held == Some(pass);
-        if fits {
+    fn go(&mut self, pass: u64) {
+        if self.held == Some(pass) {
             self.held = None;
         }
-        fits
     }
 
     /// Begins a pass.
--- a/crates/faults/src/held/world.rs
+++ b/crates/faults/src/held/world.rs
@@ -1,6 +1,7 @@
 //! One group and its agents, millisecond by millisecond.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -8,6 +9,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use wisteriawick_core::maps::MapNumber;
+use wisteriawick_core::maps::RankView;
 
 use crate::held::HeldFaults;
 use crate::held::HeldReport;
@@ -38,6 +40,9 @@
 const FORM_MS: u64 = 120;
 /// Standstill after which each member begins to resolve.
 const STUCK_MS: [u64; 2] = [100, 160];
+/// Age of the reports that a resolving member goes by: it asks the runners of
+/// other machines.
+const STALE_MS: u64 = 40;
 /// Time for which a resolving member acts.
 const RESOLVE_MS: u64 = 400;
 
@@ -63,6 +68,8 @@
     helpers: Vec<Option<Helper>>,
     /// Orders on their way, by time.
     orders: BTreeMap<u64, Vec<(usize, SentOrder)>>,
+    /// How all ranks were of late, the oldest first.
+    history: VecDeque<(u64, Vec<RankView>)>,
     next_number: u64,
     report: HeldReport,
     switches_of_dead: u32,
@@ -85,6 +92,7 @@
             leader_back_ms: 0,
             helpers: STUCK_MS.map(|_| None).into(),
             orders: BTreeMap::new(),
+            history: VecDeque::new(),
             next_number: 1,
             report: HeldReport::default(),
             switches_of_dead: 0,
@@ -176,7 +184,23 @@
         self.next_pass_ms = self.now_ms + PASS_MS;
     }
 
+    /// Remembers how all ranks are now.
+    fn remember(&mut self) {
+        let now_ms = self.now_ms;
+        let views = self.ranks.iter_mut().map(|rank| rank.view(now_ms));
+        let views: Vec<RankView> = views.collect();
+        self.history.push_back((now_ms, views));
+        while self
+            .history
+            .front()
+            .is_some_and(|(at, _)| at + STALE_MS < now_ms)
+        {
+            self.history.pop_front();
+        }
+    }
+
     fn act(&mut self) {
+        self.remember();
         self.call_helpers();
         let now = self.now();
         let mut leader = self.leader.take();
@@ -190,7 +214,7 @@
             let Some(mut helper) = self.helpers[at].take() else {
                 continue;
             };
-            self.look(now, &mut helper.actor);
+            self.look(now, &mut helper.actor, STALE_MS);
             self.send(&mut helper.actor);
             if self.now_ms < helper.until_ms {
                 self.helpers[at] = Some(helper);
@@ -202,7 +226,7 @@
     /// leader that froze in between sends what is long out of date.
     fn lead(&mut self, now: Instant, leader: &mut Actor) {
         self.send(leader);
-        self.look(now, leader);
+        self.look(now, leader, 0);
         if leader.propose(now, MapNumber(self.next_number)) {
             self.next_number += 1;
         }
@@ -220,13 +244,20 @@
         }
     }
 
-    fn look(&mut self, now: Instant, actor: &mut Actor) {
+    /// Shows an agent all ranks as they were some time ago.
+    fn look(&mut self, now: Instant, actor: &mut Actor, age_ms: u64) {
         if self.now_ms < self.formed_at_ms {
             return;
         }
-        for rank in 0..RANKS {
-            let view = self.ranks[rank].view(self.now_ms);
-            actor.see(now, rank, view);
+        let Some((_, views)) = self
+            .history
+            .iter()
+            .find(|(at, _)| *at + age_ms >= self.now_ms)
+        else {
+            return;
+        };
+        for (rank, view) in views.iter().enumerate() {
+            actor.see(now, rank, view.clone());
         }
         actor.tick(now);
     }
--- a/crates/faults/tests/held.rs
+++ b/crates/faults/tests/held.rs
@@ -89,6 +89,6 @@
 }
 
 #[test]
-fn orders_that_expect_nothing_are_caught() {
-    assert!(is_caught(HeldSabotage::NoExpectation));
+fn a_hold_released_without_arming_is_caught() {
+    assert!(is_caught(HeldSabotage::ReleaseUnarmed));
 }
--- a/src/rank/api.rs
+++ b/src/rank/api.rs
@@ -28,13 +28,12 @@
 /// Gives an order until the rank's own state shows it or refuses it. The state
 /// after each try goes to `seen`.
 ///
-/// Each try expects the number of orders that the rank had accepted, so of all
-/// tries one at most takes effect, and a late copy of it none at all once a
-/// newer order was accepted. With `expect` the number is fixed beforehand.
+/// Each try expects the number of orders that the rank had accepted. Where
+/// that number grows with these orders, one of all tries at most takes effect;
+/// nothing depends on it.
 pub(crate) async fn carry_out(
     api: &mut RunnerApi,
     epoch: u64,
-    expect: Option<u64>,
     order: &RankOrder,
     mut seen: impl FnMut(&EngineState),
 ) -> Result<OrderResult, DecodeError> {
@@ -51,9 +50,6 @@
             return Ok(OrderResult::Done);
         }
         let before = rank.view.orders;
-        if expect.is_some_and(|expected| expected != before) {
-            return Ok(OrderResult::Refused(0));
-        }
         let context = OrderContext {
             epoch,
             orders: before,
--- a/src/rank/lead.rs
+++ b/src/rank/lead.rs
@@ -242,12 +242,9 @@
 
     fn carry_out(&self, reign: &mut Reign, output: HeldOutput) {
         match output {
-            HeldOutput::Order {
-                rank,
-                epoch,
-                expect,
-                order,
-            } => self.order(reign, rank, OrderMessage::new(epoch, expect, &order)),
+            HeldOutput::Order { rank, epoch, order } => {
+                self.order(reign, rank, OrderMessage::new(epoch, &order))
+            }
             HeldOutput::Switched { number, held } => self.log.line(
                 Weight::State,
                 "map_switched",
@@ -295,7 +292,6 @@
             return;
         };
         let epoch = message.epoch;
-        let expect = message.expect;
         let order = RankOrder::from(message);
         if !matches!(order, RankOrder::Arm { .. }) {
             return;
@@ -303,7 +299,7 @@
         let log = self.log.clone();
         tokio::spawn(async move {
             let mut api = RunnerApi::new(runner);
-            let done = carry_out(&mut api, epoch, expect, &order, |_| {}).await;
+            let done = carry_out(&mut api, epoch, &order, |_| {}).await;
             let fields = json!({"rank": rank, "result": format!("{done:?}")});
             log.line(Weight::Failure, "armed_without_agent", fields);
         });
@@ -349,6 +345,13 @@
         let Some(current) = reign.current_map(epoch, number) else {
             return;
         };
+        if reign.switch.needs_map() {
+            // The same content under a new number, so that the held pass can
+            // begin; nothing is copied.
+            let next = self.next_number(number);
+            self.feed(reign, HeldInput::Propose(next, current));
+            return;
+        }
         let Some(loads) = reign.counts.loads(now, layout.sets, layout.experts) else {
             return;
         };
--- a/src/rank/member.rs
+++ b/src/rank/member.rs
@@ -160,11 +160,10 @@
     async fn obey(&mut self, message: OrderMessage) {
         self.busy_until = self.clock.now() + BUSY_AFTER_ORDER;
         let epoch = message.epoch;
-        let expect = message.expect;
         let order = RankOrder::from(message);
         let own = &self.own;
         let seen = |state: &EngineState| publish(own, state);
-        let done = carry_out(&mut self.api, epoch, expect, &order, seen).await;
+        let done = carry_out(&mut self.api, epoch, &order, seen).await;
         match done {
             Ok(OrderResult::Done) => {}
             Ok(result) => {
--- a/src/rank/resolve.rs
+++ b/src/rank/resolve.rs
@@ -1,9 +1,10 @@
 //! Lets a held group go on when its leader is away.
 //!
 //! A leader that freezes or dies between a hold and the leave leaves its group
-//! standing. Any member may resolve that, since the holder's runner decides by
-//! itself whose order takes effect. A higher rank waits longer, so that mostly
-//! one acts.
+//! standing. Any member may resolve that, since all who see the hold do the
+//! same. A higher rank waits longer, so that mostly one acts. While the whole
+//! machine of the holder stands still, its runner cannot be reached, and the
+//! group waits for it.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,9 +28,10 @@
 use crate::rank::api::carry_out;
 use crate::rank::member::MemberHandle;
 
-/// Time without a pass, while requests run, after which a group may be held: a
-/// slow pass takes a fifth of a second.
-const STUCK_AFTER: Duration = Duration::from_millis(450);
+/// Time without a pass, while requests run, after which a group counts as held:
+/// a slow pass takes a fifth of a second, and a runner's report to another
+/// machine may be as old.
+const STUCK_AFTER: Duration = Duration::from_millis(700);
 /// Further time for each rank, so that mostly one member acts.
 const STUCK_PER_RANK: Duration = Duration::from_millis(150);
 /// Time between two looks at the own rank.
@@ -165,13 +167,7 @@
     }
 
     async fn carry(&self, output: HeldOutput, apis: &mut [RunnerApi]) {
-        let HeldOutput::Order {
-            rank,
-            epoch,
-            expect,
-            order,
-        } = output
-        else {
+        let HeldOutput::Order { rank, epoch, order } = output else {
             let fields = json!({"output": format!("{output:?}")});
             self.log.line(Weight::Failure, "resolving_hold", fields);
             return;
@@ -179,7 +175,7 @@
         if !matches!(order, RankOrder::Arm { .. } | RankOrder::Go { .. }) {
             return;
         }
-        let done = carry_out(&mut apis[rank], epoch, expect, &order, |_| {}).await;
+        let done = carry_out(&mut apis[rank], epoch, &order, |_| {}).await;
         let fields = json!({
             "rank": rank,
             "order": format!("{order:?}"),
--- a/src/rank/wire.rs
+++ b/src/rank/wire.rs
@@ -153,8 +153,6 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct OrderMessage {
     pub(crate) epoch: u64,
-    /// Number of accepted orders at which it holds; any if `None`.
-    pub(crate) expect: Option<u64>,
     order: OrderWire,
 }
 
@@ -177,7 +175,7 @@
 }
 
 impl OrderMessage {
-    pub(crate) fn new(epoch: u64, expect: Option<u64>, order: &RankOrder) -> Self {
+    pub(crate) fn new(epoch: u64, order: &RankOrder) -> Self {
         let order = match order {
             RankOrder::Prepare { number, map } => OrderWire::Prepare {
                 number: number.0,
@@ -190,11 +188,7 @@
             RankOrder::Hold { pass } => OrderWire::Hold { pass: *pass },
             RankOrder::Go { pass } => OrderWire::Go { pass: *pass },
         };
-        Self {
-            epoch,
-            expect,
-            order,
-        }
+        Self { epoch, order }
     }
 }
 
