Plan exchanges of experts between ranks

Cause: on the grown sites a rank has one free place a set, and plans of copies alone stay at a skew of 1.4. Changes are now valued by the ranks they touch, so a plan with exchanges takes no longer.

--- a/crates/core/src/maps/copy_plan.rs
+++ b/crates/core/src/maps/copy_plan.rs
@@ -94,19 +94,17 @@
         let Some((at, change)) = found else {
             break;
         };
-        if change.is_copy() && change.saving < bounds.min_saving * mean {
+        if change.saving_per_copy() < bounds.min_saving * mean {
             break;
         }
         sets[at].apply(change);
-        if let Some(target) = change.target() {
+        for target in change.targets().into_iter().flatten() {
             copied[target] += 1;
         }
         for (index, set) in sets.iter().enumerate() {
-            let stale = index == at
-                || best[index]
-                    .and_then(|change| change.target())
-                    .is_some_and(|target| copied[target] >= bounds.new_per_rank);
-            if stale {
+            let full = |target: usize| copied[target] >= bounds.new_per_rank;
+            let targets = best[index].map(Change::targets).unwrap_or_default();
+            if index == at || targets.into_iter().flatten().any(full) {
                 best[index] = set.best_change(bounds, &copied);
             }
         }
@@ -159,28 +157,55 @@
     },
     /// A rank drops an expert that others hold too.
     Drop { expert: u16, rank: usize },
+    /// Two ranks exchange experts.
+    Swap {
+        expert: u16,
+        rank: usize,
+        other: u16,
+        other_rank: usize,
+    },
 }
 
 impl Change {
-    fn is_copy(self) -> bool {
-        self.target().is_some()
-    }
-
-    fn target(self) -> Option<usize> {
+    /// Returns the ranks that copy an expert.
+    fn targets(self) -> [Option<usize>; 2] {
         match self.kind {
-            ChangeKind::Copy { rank, .. } => Some(rank),
-            ChangeKind::Drop { .. } => None,
+            ChangeKind::Copy { rank, .. } => [Some(rank), None],
+            ChangeKind::Drop { .. } => [None, None],
+            ChangeKind::Swap {
+                rank, other_rank, ..
+            } => [Some(rank), Some(other_rank)],
         }
     }
 
+    /// Returns the load that it saves for each copy.
+    fn saving_per_copy(self) -> f64 {
+        let copies = self.targets().iter().flatten().count();
+        self.saving / copies.max(1) as f64
+    }
+
     /// Returns what decides between changes: a drop costs nothing.
     fn value(self) -> f64 {
         /// Worth of a change without a copy against one with.
         const FREE: f64 = 3.0;
-        if self.is_copy() {
-            self.saving
-        } else {
-            self.saving * FREE
+        match self.kind {
+            ChangeKind::Drop { .. } => self.saving * FREE,
+            _ => self.saving_per_copy(),
+        }
+    }
+}
+
+/// New loads of the few ranks that a change touches.
+#[derive(Clone, Debug, Default)]
+struct Touched {
+    loads: Vec<(usize, f64)>,
+}
+
+impl Touched {
+    fn add(&mut self, rank: usize, present: f64, change: f64) {
+        match self.loads.iter_mut().find(|(held, _)| *held == rank) {
+            Some((_, load)) => *load += change,
+            None => self.loads.push((rank, present + change)),
         }
     }
 }
@@ -192,6 +217,10 @@
     holders: Vec<u32>,
     /// Load of each rank.
     times: Vec<f64>,
+    /// Sum of the loads over their mean, to the power of `NORM`.
+    norm: f64,
+    /// Mean load of a rank, which no change alters.
+    scale: f64,
     places: usize,
 }
 
@@ -201,18 +230,40 @@
         for expert in former.iter().flatten() {
             holders[usize::from(*expert)] += 1;
         }
-        Self {
+        let mut search = Self {
             loads,
             former,
             ranks: former.to_vec(),
             holders,
-            times: rank_loads(former, loads),
+            times: Vec::new(),
+            norm: 0.0,
+            scale: loads.iter().sum::<f64>() / former.len().max(1) as f64,
             places: bounds.places,
-        }
+        };
+        search.recount();
+        search
+    }
+
+    fn recount(&mut self) {
+        self.times = rank_loads(&self.ranks, self.loads);
+        self.norm = self.times.iter().map(|time| self.power(*time)).sum();
     }
 
     fn mean(&self) -> f64 {
-        self.times.iter().sum::<f64>() / self.times.len().max(1) as f64
+        self.scale
+    }
+
+    fn power(&self, time: f64) -> f64 {
+        match self.scale > 0.0 {
+            true => (time / self.scale).powi(NORM),
+            false => 0.0,
+        }
+    }
+
+    /// Returns a value near the largest load that falls when any large one
+    /// falls.
+    fn smooth_max(&self, norm: f64) -> f64 {
+        self.scale * norm.max(0.0).powf(1.0 / f64::from(NORM))
     }
 
     fn into_ranks(self) -> Vec<Vec<u16>> {
@@ -226,47 +277,31 @@
     /// Returns the change that takes most off the slowest ranks.
     fn best_change(&self, bounds: &CopyBounds, copied: &[usize]) -> Option<Change> {
         let order = self.by_load();
-        let before = smooth_max(&self.times);
-        let mut best: Option<Change> = None;
-        let mut consider = |kind: ChangeKind, times: &[f64]| {
-            let saving = before - smooth_max(times);
-            if saving > 0.0 {
-                let change = Change { kind, saving };
-                if best.is_none_or(|held| change.value() > held.value()) {
-                    best = Some(change);
-                }
-            }
+        let may_copy = |rank: usize| {
+            copied[rank] < bounds.new_per_rank && self.new_experts(rank) < bounds.new_per_set
         };
-        let mut times = self.times.clone();
-        for source in order.iter().rev().take(SOURCES) {
-            for expert in &self.ranks[*source] {
-                if self.holders[usize::from(*expert)] > 1 {
-                    times.copy_from_slice(&self.times);
-                    self.shift(&mut times, *expert, None, Some(*source));
-                    let kind = ChangeKind::Drop {
-                        expert: *expert,
-                        rank: *source,
-                    };
-                    consider(kind, &times);
+        let mut best = None;
+        for source in order.iter().rev().take(SOURCES).copied() {
+            for expert in self.ranks[source].iter().copied() {
+                if self.holders[usize::from(expert)] > 1 {
+                    let rank = source;
+                    self.consider(ChangeKind::Drop { expert, rank }, &mut best);
                 }
-                let targets = order.iter().filter(|rank| {
-                    copied[**rank] < bounds.new_per_rank
-                        && self.new_experts(**rank) < bounds.new_per_set
-                        && !self.ranks[**rank].contains(expert)
-                });
-                for target in targets.take(TARGETS) {
-                    for instead_of in self.victims(*target) {
-                        times.copy_from_slice(&self.times);
-                        self.shift(&mut times, *expert, Some(*target), None);
-                        if let Some(victim) = instead_of {
-                            self.shift(&mut times, victim, None, Some(*target));
-                        }
+                let targets = order
+                    .iter()
+                    .copied()
+                    .filter(|rank| may_copy(*rank) && !self.ranks[*rank].contains(&expert));
+                for rank in targets.take(TARGETS) {
+                    for instead_of in self.victims(rank) {
                         let kind = ChangeKind::Copy {
-                            expert: *expert,
-                            rank: *target,
+                            expert,
+                            rank,
                             instead_of,
                         };
-                        consider(kind, &times);
+                        self.consider(kind, &mut best);
+                    }
+                    if may_copy(source) {
+                        self.consider_swaps(expert, source, rank, &mut best);
                     }
                 }
             }
@@ -274,6 +309,99 @@
         best
     }
 
+    /// Considers an exchange of a slow rank's expert for each lighter one of
+    /// another rank.
+    fn consider_swaps(
+        &self,
+        expert: u16,
+        rank: usize,
+        other_rank: usize,
+        best: &mut Option<Change>,
+    ) {
+        let weight = self.share(expert);
+        for other in self.ranks[other_rank].iter().copied() {
+            if self.share(other) < weight && !self.ranks[rank].contains(&other) {
+                let kind = ChangeKind::Swap {
+                    expert,
+                    rank,
+                    other,
+                    other_rank,
+                };
+                self.consider(kind, best);
+            }
+        }
+    }
+
+    fn consider(&self, kind: ChangeKind, best: &mut Option<Change>) {
+        let touched = self.touched_by(kind);
+        let mut norm = self.norm;
+        for (rank, load) in &touched.loads {
+            norm += self.power(*load) - self.power(self.times[*rank]);
+        }
+        let saving = self.smooth_max(self.norm) - self.smooth_max(norm);
+        let change = Change { kind, saving };
+        if saving > 0.0 && best.is_none_or(|held| change.value() > held.value()) {
+            *best = Some(change);
+        }
+    }
+
+    /// Returns an expert's load at each rank that holds it.
+    fn share(&self, expert: u16) -> f64 {
+        let at = usize::from(expert);
+        self.loads[at] / f64::from(self.holders[at].max(1))
+    }
+
+    fn touched_by(&self, kind: ChangeKind) -> Touched {
+        let mut touched = Touched::default();
+        match kind {
+            ChangeKind::Copy {
+                expert,
+                rank,
+                instead_of,
+            } => {
+                self.spread(&mut touched, expert, 1);
+                let new = self.loads[usize::from(expert)]
+                    / f64::from(self.holders[usize::from(expert)] + 1);
+                touched.add(rank, self.times[rank], new);
+                if let Some(victim) = instead_of {
+                    self.withdraw(&mut touched, victim, rank);
+                }
+            }
+            ChangeKind::Drop { expert, rank } => self.withdraw(&mut touched, expert, rank),
+            ChangeKind::Swap {
+                expert,
+                rank,
+                other,
+                other_rank,
+            } => {
+                let moved = self.share(expert) - self.share(other);
+                touched.add(rank, self.times[rank], -moved);
+                touched.add(other_rank, self.times[other_rank], moved);
+            }
+        }
+        touched
+    }
+
+    /// Changes the loads of an expert's holders as if it had more or fewer.
+    fn spread(&self, touched: &mut Touched, expert: u16, more: i32) {
+        let at = usize::from(expert);
+        let after = (self.holders[at] as i32 + more).max(1);
+        let change = self.loads[at] / f64::from(after) - self.share(expert);
+        for (rank, experts) in self.ranks.iter().enumerate() {
+            if experts.contains(&expert) {
+                touched.add(rank, self.times[rank], change);
+            }
+        }
+    }
+
+    /// Changes loads as if a rank dropped an expert that others hold too.
+    fn withdraw(&self, touched: &mut Touched, expert: u16, rank: usize) {
+        self.spread(touched, expert, -1);
+        let at = usize::from(expert);
+        let left = (self.holders[at] as i32 - 1).max(1);
+        touched.add(rank, self.times[rank], -self.loads[at] / f64::from(left));
+    }
+
     /// Returns the ranks, the least loaded first.
     fn by_load(&self) -> Vec<usize> {
         let mut order: Vec<usize> = (0..self.times.len()).collect();
@@ -302,27 +430,6 @@
             .count()
     }
 
-    /// Changes loads as if a rank gained or lost an expert.
-    fn shift(&self, times: &mut [f64], expert: u16, gains: Option<usize>, loses: Option<usize>) {
-        let at = usize::from(expert);
-        let before = f64::from(self.holders[at]);
-        let after =
-            before + f64::from(u8::from(gains.is_some())) - f64::from(u8::from(loses.is_some()));
-        let old = self.loads[at] / before;
-        let new = self.loads[at] / after.max(1.0);
-        for (rank, experts) in self.ranks.iter().enumerate() {
-            if experts.contains(&expert) {
-                times[rank] += new - old;
-            }
-        }
-        if let Some(rank) = gains {
-            times[rank] += new;
-        }
-        if let Some(rank) = loses {
-            times[rank] -= new;
-        }
-    }
-
     fn apply(&mut self, change: Change) {
         match change.kind {
             ChangeKind::Copy {
@@ -333,12 +440,27 @@
                 if let Some(victim) = instead_of {
                     self.remove(victim, rank);
                 }
-                self.ranks[rank].push(expert);
-                self.holders[usize::from(expert)] += 1;
+                self.insert(expert, rank);
             }
             ChangeKind::Drop { expert, rank } => self.remove(expert, rank),
+            ChangeKind::Swap {
+                expert,
+                rank,
+                other,
+                other_rank,
+            } => {
+                self.remove(expert, rank);
+                self.remove(other, other_rank);
+                self.insert(other, rank);
+                self.insert(expert, other_rank);
+            }
         }
-        self.times = rank_loads(&self.ranks, self.loads);
+        self.recount();
+    }
+
+    fn insert(&mut self, expert: u16, rank: usize) {
+        self.ranks[rank].push(expert);
+        self.holders[usize::from(expert)] += 1;
     }
 
     fn remove(&mut self, expert: u16, rank: usize) {
@@ -346,13 +468,3 @@
         self.holders[usize::from(expert)] -= 1;
     }
 }
-
-/// Returns a value near the largest that falls when any large one falls.
-fn smooth_max(times: &[f64]) -> f64 {
-    let top = times.iter().copied().fold(0.0, f64::max);
-    if top <= 0.0 {
-        return 0.0;
-    }
-    let sum: f64 = times.iter().map(|time| (time / top).powi(NORM)).sum();
-    top * sum.powf(1.0 / f64::from(NORM))
-}
