--- a/crates/core/src/gateway/roster.rs
+++ b/crates/core/src/gateway/roster.rs
@@ -68,14 +68,18 @@
         }
     }
 
-    /// Takes an entry that was written.
-    pub fn write(&mut self, runner: ListedRunner) {
+    /// Takes an entry that was written; returns whether it tells something new
+    /// of where the runner is, whether it takes work, or that it was reborn.
+    pub fn write(&mut self, runner: ListedRunner) -> bool {
         let id = runner.id.clone();
+        let told = |runner: &ListedRunner| (runner.address, runner.state, runner.born_ms);
+        let news = told(&runner);
         let entry = Entry {
             runner,
             lapsed: false,
         };
-        self.entries.insert(id, entry);
+        let former = self.entries.insert(id, entry);
+        former.is_none_or(|former| former.lapsed || told(&former.runner) != news)
     }
 
     /// Takes the removal of an entry.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -30,6 +31,9 @@
         /// the process says where its settings are
         #[bpaf(argument("FILE"), optional)]
         config: Option<PathBuf>,
+        /// Port for the metrics of a hosted process
+        #[bpaf(argument("PORT"), optional)]
+        metrics_port: Option<u16>,
     },
     /// Runs an agent, which stands beside an endpoint
     #[bpaf(command)]
@@ -38,6 +42,9 @@
         /// the process says where its settings are
         #[bpaf(argument("FILE"), optional)]
         config: Option<PathBuf>,
+        /// Port for the metrics of a hosted process
+        #[bpaf(argument("PORT"), optional)]
+        metrics_port: Option<u16>,
     },
     /// Checks a settings file
     #[bpaf(command)]
@@ -60,8 +67,11 @@
     /// Shows the events of all processes in order
     #[bpaf(command)]
     Timeline {
-        #[bpaf(external)]
-        access: Access,
+        #[bpaf(external(timeline_source))]
+        source: TimelineSource,
+        /// Only events of this request
+        #[bpaf(argument("ID"), optional)]
+        request: Option<String>,
         /// First event, in milliseconds since the Unix epoch
         #[bpaf(argument("MS"), fallback(0))]
         since: u64,
@@ -99,6 +109,19 @@
     token_file: PathBuf,
 }
 
+/// Where events come from.
+#[derive(Clone, Debug, Bpaf)]
+enum TimelineSource {
+    /// Logs of hosted processes.
+    Logs {
+        /// File with the log lines of one or more processes; may be repeated
+        #[bpaf(argument("FILE"), some("state --from FILE"))]
+        from: Vec<PathBuf>,
+    },
+    /// A running entry.
+    Live(#[bpaf(external(access))] Access),
+}
+
 #[derive(Clone, Debug, Bpaf)]
 enum TicketCommand {
     /// Checks a directory of tickets; no process is needed
@@ -178,7 +201,7 @@
 /// Hosted processes have a part of one core, so one thread serves best.
 fn runtime_for(command: &Command) -> std::io::Result<tokio::runtime::Runtime> {
     match command {
-        Command::Entry { config: None } | Command::Agent { config: None } => {
+        Command::Entry { config: None, .. } | Command::Agent { config: None, .. } => {
             tokio::runtime::Builder::new_current_thread()
                 .enable_all()
                 .build()
@@ -189,29 +212,34 @@
 
 async fn execute(command: Command) -> Result<bool> {
     match command {
-        Command::Entry { config: Some(file) } => command::run::entry(&file).await?,
-        Command::Agent { config: Some(file) } => command::run::agent(&file).await?,
-        Command::Entry { config: None } => command::hosted::entry().await?,
-        Command::Agent { config: None } => command::hosted::agent().await?,
+        Command::Entry {
+            config: Some(file), ..
+        } => command::run::entry(&file).await?,
+        Command::Agent {
+            config: Some(file), ..
+        } => command::run::agent(&file).await?,
+        Command::Entry {
+            config: None,
+            metrics_port,
+        } => command::hosted::entry(metrics_port).await?,
+        Command::Agent {
+            config: None,
+            metrics_port,
+        } => command::hosted::agent(metrics_port).await?,
         Command::Check { file } => command::check::run(&file)?,
         Command::Ticket(command) => return execute_ticket(command).await,
         Command::Status { access, json } => {
             command::status::run(&access.read()?, json).await?;
         }
         Command::Timeline {
-            access,
-            since,
-            html: Some(file),
-            ..
-        } => command::timeline::write_html(&access.read()?, since, &file).await?,
-        Command::Timeline {
-            access,
+            source,
+            request,
             since,
             follow,
             json,
             kind,
             workspace,
-            html: None,
+            html,
         } => {
             let options = TimelineOptions {
                 since_ms: since,
@@ -219,8 +247,9 @@
                 json,
                 kind,
                 workspace,
+                request,
             };
-            command::timeline::run(&access.read()?, &options).await?;
+            show_timeline(&source, &options, html.as_deref()).await?;
         }
         #[cfg(feature = "dev")]
         Command::Dev { config } => command::dev::run(&config).await?,
@@ -228,6 +257,22 @@
     Ok(true)
 }
 
+async fn show_timeline(
+    source: &TimelineSource,
+    options: &TimelineOptions,
+    html: Option<&Path>,
+) -> Result<()> {
+    match (source, html) {
+        (TimelineSource::Logs { from }, _) => command::timeline::from_logs(from, options, html),
+        (TimelineSource::Live(access), Some(file)) => {
+            command::timeline::write_html(&access.read()?, options.since_ms, file).await
+        }
+        (TimelineSource::Live(access), None) => {
+            command::timeline::run(&access.read()?, options).await
+        }
+    }
+}
+
 async fn execute_ticket(command: TicketCommand) -> Result<bool> {
     match command {
         TicketCommand::Check { dir } => ticket::check(&dir)?,
--- a/src/command/hosted.rs
+++ b/src/command/hosted.rs
@@ -1,5 +1,6 @@
 //! `entry` and `agent` on a platform that hosts them and writes their settings.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 
@@ -20,6 +21,7 @@
 use crate::eventlog::Weight;
 use crate::gateway;
 use crate::rank;
+use crate::telemetry;
 
 /// What a hosted process starts with.
 struct Start {
@@ -34,8 +36,8 @@
 /// # Errors
 ///
 /// Fails when it cannot start.
-pub async fn entry() -> Result<()> {
-    let start = start()?;
+pub async fn entry(metrics_port: Option<u16>) -> Result<()> {
+    let start = start(metrics_port).await?;
     gateway::run(start.settings, start.clock, start.log, start.stop).await
 }
 
@@ -44,18 +46,24 @@
 /// # Errors
 ///
 /// Fails when it cannot start.
-pub async fn agent() -> Result<()> {
-    let start = start()?;
+pub async fn agent(metrics_port: Option<u16>) -> Result<()> {
+    let start = start(metrics_port).await?;
     rank::run(start.settings, start.clock, start.log, start.stop).await
 }
 
-fn start() -> Result<Start> {
+async fn start(metrics_port: Option<u16>) -> Result<Start> {
     let path = settings_path()?;
     let settings = read_settings(&path).map_err(|e| Error::Other(e.to_string()))?;
     let clock: SharedClock = Arc::new(SystemClock);
     let log = EventLog::start(settings.name.as_str(), Arc::clone(&clock));
     let stop = CancellationToken::new();
     tokio::spawn(stop_on_signal(stop.clone(), log.clone()));
+    if let Some(port) = metrics_port
+        && let Some(handle) = telemetry::init_with_buckets()
+    {
+        let listener = gateway::bind(SocketAddr::new(settings.ip, port)).await?;
+        tokio::spawn(telemetry::serve(listener, handle, CancellationToken::new()));
+    }
     tokio::spawn(check_on_reload(path, settings.clone(), log.clone()));
     Ok(Start {
         settings,
--- a/src/command/timeline.rs
+++ b/src/command/timeline.rs
@@ -1,14 +1,17 @@
 //! `timeline`: the merged time line of events over all processes.
 
 mod html;
+mod logs;
 
 use std::path::Path;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
 pub use html::render;
+pub use logs::merge_logs;
 
 use crate::command::OperatorAccess;
 use crate::command::print_line;
@@ -42,6 +45,8 @@
     pub kind: Option<String>,
     /// Only events that concern this workspace.
     pub workspace: Option<String>,
+    /// Only events of this request; logs name it.
+    pub request: Option<String>,
 }
 
 impl TimelineOptions {
@@ -51,7 +56,11 @@
             .workspace
             .as_ref()
             .is_none_or(|workspace| event.workspace.as_ref() == Some(workspace));
-        kind && workspace
+        let request = self
+            .request
+            .as_ref()
+            .is_none_or(|request| event.detail.contains(request.as_str()));
+        kind && workspace && request && event.at.millis >= self.since_ms
     }
 }
 
@@ -94,6 +103,29 @@
     std::fs::write(file, render(&merged)).map_err(Error::file(file))
 }
 
+/// Prints the events in logs of hosted processes, or writes them as a page.
+///
+/// # Errors
+///
+/// Fails when a file cannot be read or the page cannot be written.
+pub fn from_logs(files: &[PathBuf], options: &TimelineOptions, html: Option<&Path>) -> Result<()> {
+    let texts = files
+        .iter()
+        .map(|file| std::fs::read_to_string(file).map_err(Error::file(file)))
+        .collect::<Result<Vec<String>>>()?;
+    let mut merged = merge_logs(texts.iter().map(String::as_str));
+    merged.events.retain(|event| options.accepts(event));
+    match html {
+        Some(file) => std::fs::write(file, render(&merged)).map_err(Error::file(file)),
+        None => {
+            for event in &merged.events {
+                print_event(event, options.json);
+            }
+            Ok(())
+        }
+    }
+}
+
 async fn fetch(access: &OperatorAccess, since_ms: u64) -> Result<MergedTimeline> {
     access.get(&format!("/timeline?since={since_ms}")).await
 }
--- a/src/eventlog.rs
+++ b/src/eventlog.rs
@@ -1,6 +1,7 @@
 //! Structured lines about decisions, bounded in number and never blocking.
 //!
-//! A line is one JSON object on standard output. Lines about requests are
+//! A line is one JSON object on standard output: `ms` is the time of day, `up_ms`
+//! the time since the process started, which no step of the clock changes. Lines about requests are
 //! sampled by the request's identifier, so that of a sampled request every
 //! line is there; failures and changes of state are always written. Beyond a
 //! rate lines are left out and counted. A thread of its own writes, so a slow
@@ -50,6 +51,7 @@
 struct Inner {
     process: String,
     clock: SharedClock,
+    started: Instant,
     tx: SyncSender<String>,
     left_out: AtomicU64,
     window: Mutex<Window>,
@@ -73,6 +75,7 @@
         Self {
             inner: Arc::new(Inner {
                 process: process.to_string(),
+                started: clock.now(),
                 clock,
                 tx,
                 left_out: AtomicU64::new(0),
@@ -89,6 +92,8 @@
         }
         let mut line = Map::new();
         line.insert("ms".into(), unix_millis(self.inner.clock.wall()).into());
+        let up = self.inner.clock.now() - self.inner.started;
+        line.insert("up_ms".into(), (up.as_micros() as f64 / 1000.0).into());
         line.insert("process".into(), self.inner.process.as_str().into());
         line.insert("event".into(), kind.into());
         if weight == Weight::Failure {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -12,8 +12,11 @@
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use metrics::counter;
+use metrics::histogram;
 use serde_json::json;
 use wisteriawick_core::gateway::Admission;
+use wisteriawick_core::gateway::AttemptOutcome;
 use wisteriawick_core::gateway::Denied;
 use wisteriawick_core::gateway::NextStep;
 use wisteriawick_core::gateway::Permit;
@@ -39,6 +42,7 @@
 use crate::gateway::hub::lock;
 use crate::gateway::relay;
 use crate::gateway::slot::Slot;
+use crate::telemetry;
 
 /// Time before a deadline at which the final answer goes out, for its way.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
@@ -129,6 +133,7 @@
         Denied::NoRoute => (StatusCode::NOT_FOUND, "no route"),
         Denied::UnknownKey => (StatusCode::UNAUTHORIZED, "unknown key"),
     };
+    counter!(telemetry::REQUESTS, "outcome" => "denied").increment(1);
     let fields = json!({"request": id, "reason": reason, "declaration": version});
     hub.log.line(Weight::Failure, "denied", fields);
     own(id, status, None, reason)
@@ -235,6 +240,13 @@
             .unwrap_or(false)
     };
     let step = tried.plan.next(now, ended.outcome, spend);
+    let outcome = match ended.outcome {
+        AttemptOutcome::NotSent => "not sent",
+        AttemptOutcome::NotRun => "not run",
+        AttemptOutcome::Failed => "failed",
+        AttemptOutcome::Unknown => "unknown",
+    };
+    counter!(telemetry::FAILED_ATTEMPTS, "outcome" => outcome).increment(1);
     exchange.log(
         Weight::Failure,
         "attempt_ended",
@@ -337,11 +349,32 @@
         };
         let fields = json!({"status": status.as_u16(), "runner": runner.as_str()});
         self.log(weight, "answered", fields);
+        self.count(match status.is_success() {
+            true => "answered",
+            false => "failed by runner",
+        });
+        self.count_time();
         answer(status, whole_answer.headers, whole(whole_answer.body))
     }
 
+    /// Counts what became of a request.
+    pub(crate) fn count(&self, outcome: &'static str) {
+        counter!(telemetry::REQUESTS, "outcome" => outcome).increment(1);
+    }
+
+    /// Records the time from the request's head until now.
+    pub(crate) fn count_time(&self) {
+        let age = self.hub.now().saturating_duration_since(self.arrived);
+        let kind = match self.permit.route.streams {
+            true => "stream",
+            false => "plain",
+        };
+        histogram!(telemetry::ANSWER_SECONDS, "kind" => kind).record(age.as_secs_f64());
+    }
+
     fn out_of_time(&self, tried: &Try) -> Response<Body> {
         if tried.is_sent || tried.plan.may_have_run {
+            self.count("timed out");
             self.log(Weight::Failure, "timed_out", json!({"sent": true}));
             return own(
                 &self.caller.id,
@@ -358,6 +391,7 @@
         if tried.plan.may_have_run {
             return self.unknown();
         }
+        self.count("refused");
         let load = self
             .hub
             .with_service(&self.service, |state| state.pool.load());
@@ -382,6 +416,7 @@
     }
 
     fn unknown(&self) -> Response<Body> {
+        self.count("unknown");
         self.log(Weight::Failure, "failed", json!({"reason": "may have run"}));
         own(
             &self.caller.id,
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use metrics::gauge;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -41,6 +42,7 @@
 
 use crate::eventlog::EventLog;
 use crate::gateway::upstream::Upstreams;
+use crate::telemetry;
 
 /// Entries among which a service's slots and retry budget are divided. A few
 /// entries stand before a service; one that is not there leaves its part unused.
@@ -266,7 +268,11 @@
 
     fn wake_all(&self) {
         let now = self.now();
-        for state in lock(&self.services).values_mut() {
+        for (service, state) in lock(&self.services).iter_mut() {
+            let (in_flight, waiting) = state.pool.load();
+            let label = service.as_str().to_string();
+            gauge!(telemetry::IN_FLIGHT, "service" => label.clone()).set(in_flight);
+            gauge!(telemetry::WAITING, "service" => label).set(waiting as f64);
             if state.waiters.is_empty() {
                 continue;
             }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
+use metrics::counter;
 use serde_json::json;
 use wisteriawick_core::gateway::AttemptOutcome;
 use wisteriawick_core::gateway::NextStep;
@@ -29,6 +30,7 @@
 use crate::gateway::exchange::next_step;
 use crate::gateway::exchange::place;
 use crate::gateway::hub::lock;
+use crate::telemetry;
 
 /// Time without an event after which a stream goes on elsewhere, while its
 /// caller is still there: callers leave after two seconds.
@@ -51,6 +53,7 @@
 ) -> Response<Body> {
     let fields = json!({"runner": stream.source.slot.runner.id.as_str()});
     exchange.log(Weight::Routine, "stream_began", fields);
+    exchange.count_time();
     let relay = Relay {
         exchange,
         tried: Try {
@@ -82,6 +85,7 @@
             Err(_) => {
                 self.exchange
                     .log(Weight::Failure, "timed_out", json!({"events": self.events}));
+                self.exchange.count("timed out");
                 self.source = None;
                 Some(Err(std::io::ErrorKind::TimedOut.into()))
             }
@@ -102,6 +106,12 @@
                 }
                 Err(detail) => {
                     if !self.resume(detail).await {
+                        self.exchange.count("broken off");
+                        self.exchange.log(
+                            Weight::Failure,
+                            "broken_off",
+                            json!({"events": self.events}),
+                        );
                         return Some(Err(std::io::ErrorKind::ConnectionAborted.into()));
                     }
                 }
@@ -122,6 +132,7 @@
         lock(&hub.strikes).clear(self.exchange.fingerprint);
         let fields = json!({"events": self.events, "runner": source.slot.runner.id.as_str()});
         self.exchange.log(Weight::Routine, "stream_ended", fields);
+        self.exchange.count("answered");
     }
 
     /// Goes on at another runner after the last event; returns whether it did.
@@ -150,6 +161,7 @@
                 Opened::Stream(stream) => {
                     let fields = json!({"runner": runner.as_str(), "after": last});
                     self.exchange.log(Weight::Failure, "resumed", fields);
+                    counter!(telemetry::RESUMED).increment(1);
                     self.source = Some(stream.source);
                     return true;
                 }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use metrics::counter;
 use serde_json::json;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::gateway::Declaration;
@@ -18,6 +19,7 @@
 use crate::eventlog::Weight;
 use crate::gateway::hub::Hub;
 use crate::gateway::hub::lock;
+use crate::telemetry;
 
 /// Longest wait of one watch: with the slack for its answer it stays below the
 /// two seconds in which a declaration must be in force.
@@ -151,8 +153,9 @@
                 "state": format!("{:?}", runner.state),
                 "address": runner.address.to_string(),
             });
-            hub.log.line(Weight::State, "runner", fields);
-            roster.write(runner);
+            if roster.write(runner) {
+                hub.log.line(Weight::State, "runner", fields);
+            }
         }
         Change::Removed { name } => {
             hub.log
@@ -208,6 +211,7 @@
                     let fields = json!({"for": self.what, "error": e.to_string()});
                     hub.log.line(Weight::Failure, "store_lost", fields);
                 }
+                counter!(telemetry::STORE_FAILURES, "for" => self.what).increment(1);
                 let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(4));
                 self.failures += 1;
                 let spread = 0.75 + hub.draw() / 2.0;
--- a/src/rank/lead.rs
+++ b/src/rank/lead.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use metrics::counter;
+use metrics::gauge;
+use metrics::histogram;
 use serde_json::json;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -43,6 +46,7 @@
 use crate::rank::wire::OrderMessage;
 use crate::rank::wire::RankLoadWire;
 use crate::rank::wire::link_port;
+use crate::telemetry;
 
 /// Time between two looks at whether a plan pays.
 const PLAN_EVERY: Duration = Duration::from_millis(100);
@@ -245,15 +249,16 @@
             HeldOutput::Order { rank, epoch, order } => {
                 self.order(reign, rank, OrderMessage::new(epoch, &order))
             }
-            HeldOutput::Switched { number, held } => self.log.line(
-                Weight::State,
-                "map_switched",
-                json!({
+            HeldOutput::Switched { number, held } => {
+                counter!(telemetry::MAP_SWITCHES).increment(1);
+                histogram!(telemetry::HELD_SECONDS).record(held.as_secs_f64());
+                let fields = json!({
                     "group": reign.group,
                     "map": number.0,
                     "held_ms": held.as_micros() as f64 / 1000.0,
-                }),
-            ),
+                });
+                self.log.line(Weight::State, "map_switched", fields);
+            }
             HeldOutput::GaveUp { number, reason } => self.log.line(
                 Weight::Failure,
                 "map_given_up",
@@ -372,6 +377,7 @@
         if plan.skew.0 - plan.skew.1 < MIN_GAIN {
             return;
         }
+        gauge!(telemetry::SKEW).set(plan.skew.0);
         let next = self.next_number(number);
         self.log.line(
             Weight::State,
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,7 +1,21 @@
 //! Names of metrics, and their export as Prometheus text.
 
+use std::convert::Infallible;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
 
 /// Calls to the platform, by operation and result.
 pub const PLATFORM_CALLS: &str = "wisteriawick_platform_calls_total";
@@ -22,6 +36,73 @@
 /// Requests that wait for a runner, by service.
 pub const WAITING: &str = "wisteriawick_waiting_requests";
 
+/// Requests that a gateway answered, by what became of them.
+pub const REQUESTS: &str = "wisteriawick_requests_total";
+/// Attempts at runners that brought no answer to pass on, by outcome.
+pub const FAILED_ATTEMPTS: &str = "wisteriawick_failed_attempts_total";
+/// Streams that went on at another runner.
+pub const RESUMED: &str = "wisteriawick_resumed_streams_total";
+/// Seconds from a request's head to its answer, or to the first event of a
+/// stream.
+pub const ANSWER_SECONDS: &str = "wisteriawick_answer_seconds";
+/// Requests at runners.
+pub const IN_FLIGHT: &str = "wisteriawick_in_flight_requests";
+/// Calls to the platform's store that failed, by what they were for.
+pub const STORE_FAILURES: &str = "wisteriawick_store_failures_total";
+/// Changes of expert maps that all ranks made.
+pub const MAP_SWITCHES: &str = "wisteriawick_map_switches_total";
+/// Seconds for which a change of maps may have held a group.
+pub const HELD_SECONDS: &str = "wisteriawick_held_seconds";
+/// Load of the slowest ranks over the mean, before the last plan.
+pub const SKEW: &str = "wisteriawick_expert_skew";
+
+/// Upper bounds of the buckets of times, in seconds: from a pass to the
+/// longest patience of callers.
+const SECONDS_BUCKETS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0,
+];
+/// Time between two clean-ups of what the recorder holds.
+const UPKEEP_EVERY: Duration = Duration::from_secs(5);
+
+/// Serves the metrics of a hosted process as text until `end`.
+pub async fn serve(listener: TcpListener, handle: PrometheusHandle, end: CancellationToken) {
+    let mut upkeep = tokio::time::interval(UPKEEP_EVERY);
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    tokio::spawn(serve_connection(stream, handle.clone(), end.clone()));
+                }
+            }
+            _ = upkeep.tick() => handle.run_upkeep(),
+            () = end.cancelled() => return,
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, handle: PrometheusHandle, end: CancellationToken) {
+    let service = service_fn(move |_req: Request<Incoming>| {
+        let text = handle.render();
+        async move { Ok::<_, Infallible>(Response::new(Full::new(Bytes::from(text)))) }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        // Whoever reads metrics asks again.
+        _ = connection => {}
+        () = end.cancelled() => {}
+    }
+}
+
+/// Starts the export with buckets for times, as hosted processes do; `None`
+/// when this process exports already.
+pub fn init_with_buckets() -> Option<PrometheusHandle> {
+    PrometheusBuilder::new()
+        .set_buckets(&SECONDS_BUCKETS)
+        .ok()?
+        .install_recorder()
+        .ok()
+}
+
 /// Starts the export; `None` when this process exports already, as the roles
 /// in one `dev` process do.
 pub fn init() -> Option<PrometheusHandle> {
