Try a group that refuses with one request at a time

Refusals now close a group for the entry; one request tries it, the rest wait as long as their callers stay.

--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -23,10 +23,12 @@
 const LONGEST_ABSENCE: Duration = Duration::from_secs(4);
 /// Failures in a row before a runner is left out.
 const FAILURES_BEFORE_ABSENCE: u32 = 2;
-/// How long a runner or group that refused is left alone: about two passes,
-/// for an open group that was full; a group that forms takes longer and
-/// refuses again.
+/// How long a runner or group that refused is left alone: about two passes.
+/// Doubled with each further refusal of a group, which takes a second or more
+/// to form again.
 const REFUSAL_REST: Duration = Duration::from_millis(120);
+/// Most doublings of that time.
+const MAX_DOUBLINGS: u32 = 1;
 /// Bounds of the advice when to come back.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(300);
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(4);
@@ -112,6 +114,8 @@
     /// Requests of this entry that one runner holds at most while no report
     /// tells what others send it.
     pub unreported: u32,
+    /// Whether runners work in groups, all of whose ranks refuse together.
+    pub in_groups: bool,
     /// Requests that wait at most.
     pub waiting: usize,
     /// Share of the time until the deadline that a request may wait.
@@ -177,6 +181,17 @@
     }
 }
 
+/// A group that refused work.
+#[derive(Clone, Copy, Debug)]
+struct Closed {
+    /// Refusals since it last served, without those that came together.
+    refusals: u32,
+    /// Until when it is left alone.
+    until: Instant,
+    /// Requests that try it now.
+    tries: u32,
+}
+
 /// The runners of one service as one entry sees them, and what waits for them.
 #[derive(Debug)]
 pub struct Pool {
@@ -184,6 +199,9 @@
     limits: PoolLimits,
     runners: BTreeMap<RunnerId, Runner>,
     waiting: Vec<Work>,
+    /// Groups that refused work, by name; `None` stands for runners whose
+    /// group no report told.
+    closed: BTreeMap<Option<Arc<str>>, Closed>,
     /// Requests that end in a second, smoothed.
     rate: f64,
     rate_at: Instant,
@@ -199,6 +217,7 @@
             limits,
             runners: BTreeMap::new(),
             waiting: Vec::new(),
+            closed: BTreeMap::new(),
             rate: 0.0,
             rate_at: now,
             turn: 0,
@@ -255,6 +274,8 @@
                 own: runner.in_flight,
             });
         }
+        // What was held against runners of no known group is told by reports.
+        self.closed.remove(&None);
     }
 
     /// Returns whether a runner takes work.
@@ -317,8 +338,10 @@
                 self.runners.remove(id);
             }
         }
-        if status == RunnerStatus::Busy {
-            self.rest_after_refusal(now, id);
+        match status {
+            RunnerStatus::Busy => self.rest_after_refusal(now, id),
+            RunnerStatus::Served => self.reopen(id),
+            _ => self.end_try(id),
         }
         self.wake(now)
     }
@@ -326,20 +349,62 @@
     /// Leaves a runner that refused alone for a moment, and its whole group if
     /// the runner itself is not full: then the group is not open.
     fn rest_after_refusal(&mut self, now: Instant, id: &RunnerId) {
-        let Some(runner) = self.runners.get(id) else {
+        let Some(runner) = self.runners.get_mut(id) else {
             return;
         };
         let is_full = runner.held(now) >= runner.listed.slots;
-        let group = runner.group().filter(|_| !is_full).cloned();
-        let until = now + REFUSAL_REST;
-        for (held, runner) in &mut self.runners {
-            let same_group = group.is_some() && runner.group() == group.as_ref();
-            if held == id || same_group {
-                runner.absent_until = runner.absent_until.max(Some(until));
-            }
+        if is_full || !self.limits.in_groups {
+            runner.absent_until = runner.absent_until.max(Some(now + REFUSAL_REST));
+            return;
+        }
+        let group = runner.group().cloned();
+        let closed = self.closed.entry(group).or_insert(Closed {
+            refusals: 0,
+            until: now,
+            tries: 0,
+        });
+        if now >= closed.until {
+            let doubled = closed.refusals.min(MAX_DOUBLINGS);
+            closed.until = now + REFUSAL_REST * 2u32.pow(doubled);
+            closed.refusals += 1;
+        }
+        closed.tries = closed.tries.saturating_sub(1);
+    }
+
+    /// Records that a request began to be served, so that its runner's group is
+    /// open.
+    pub fn began(&mut self, now: Instant, id: &RunnerId) -> Vec<Wake> {
+        self.reopen(id);
+        self.wake(now)
+    }
+
+    fn reopen(&mut self, id: &RunnerId) {
+        if self.closed.is_empty() {
+            return;
+        }
+        if let Some(runner) = self.runners.get(id) {
+            self.closed.remove(&runner.group().cloned());
+            // Runners whose group is not known may belong to any.
+            self.closed.remove(&None);
+        }
+    }
+
+    fn end_try(&mut self, id: &RunnerId) {
+        if let Some(runner) = self.runners.get(id)
+            && let Some(closed) = self.closed.get_mut(&runner.group().cloned())
+        {
+            closed.tries = closed.tries.saturating_sub(1);
         }
     }
 
+    /// Returns whether a runner's group may be tried: after refusals, by one
+    /// request at a time.
+    fn group_takes_work(&self, now: Instant, runner: &Runner) -> bool {
+        self.closed
+            .get(&runner.group().cloned())
+            .is_none_or(|closed| now >= closed.until && closed.tries == 0)
+    }
+
     /// Lets waiting requests go on, and turns away those that wait in vain.
     pub fn wake(&mut self, now: Instant) -> Vec<Wake> {
         let mut wakes = Vec::new();
@@ -374,6 +439,7 @@
             .values()
             .enumerate()
             .filter(|(_, runner)| runner.takes_work(now))
+            .filter(|(_, runner)| self.group_takes_work(now, runner))
             .filter(|(_, runner)| runner.has_room(now, &self.limits))
             .filter(|(_, runner)| !work.excluded.contains(&runner.listed.id))
             .map(|(at, runner)| {
@@ -384,6 +450,9 @@
             .map(|(_, _, id)| id.clone())?;
         let runner = self.runners.get_mut(&best)?;
         runner.in_flight += 1;
+        if let Some(closed) = self.closed.get_mut(&runner.group().cloned()) {
+            closed.tries += 1;
+        }
         Some(Candidate {
             runner: runner.listed.clone(),
         })
--- a/crates/core/tests/gateway_pool.rs
+++ b/crates/core/tests/gateway_pool.rs
@@ -20,6 +20,7 @@
 const LIMITS: PoolLimits = PoolLimits {
     per_runner: 12,
     unreported: 3,
+    in_groups: true,
     waiting: 8,
     wait_share: 0.5,
 };
@@ -141,6 +142,45 @@
     assert!(matches!(wakes[0].admission, Admission::Run(_)));
 }
 
+/// Everything restarts at once: no report tells of groups yet, and all refuse
+/// for two seconds. One request at a time tries; the others wait and don't
+/// spend the retry budget.
+#[test]
+fn while_all_refuse_one_request_at_a_time_tries() {
+    let now = Instant::now();
+    let mut pool = pool(now, 16);
+    let mut tries = 0;
+    let mut ticket = 0;
+    for ms in (0..1_600).step_by(40) {
+        let at = now + Duration::from_millis(ms);
+        ticket += 1;
+        let mut sent = Vec::new();
+        sent.extend(chosen(pool.admit(at, work(at, ticket))));
+        sent.extend(
+            pool.wake(at)
+                .into_iter()
+                .filter_map(|wake| chosen(wake.admission)),
+        );
+        assert!(sent.len() <= 1, "{sent:?}");
+        for id in sent {
+            tries += 1;
+            pool.ended(at, &id, RunnerStatus::Busy);
+        }
+    }
+    assert!((4..=12).contains(&tries), "{tries}");
+    let at = now + Duration::from_millis(2_000);
+    let wake = pool
+        .wake(at)
+        .into_iter()
+        .find_map(|wake| chosen(wake.admission));
+    let id = wake
+        .or_else(|| chosen(pool.admit(at, work(at, 99))))
+        .expect("a try");
+    let freed = pool.began(at, &id);
+    let open = freed.len() + usize::from(chosen(pool.admit(at, work(at, 100))).is_some());
+    assert!(open >= 1, "the group is open for all");
+}
+
 #[test]
 fn a_closed_group_takes_no_work() {
     let now = Instant::now();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -209,9 +209,9 @@
     }
     let headers = relayed_answer(&parts.headers);
     if exchange.permit.route.streams && head.status.is_success() {
-        first_event(slot, upstream, head, headers, body, last_event)
-            .await
-            .map(Reply::Stream)
+        let opened = first_event(slot, upstream, head, headers, body, last_event).await?;
+        exchange.hub.began(&exchange.service, &slot.runner.id);
+        Ok(Reply::Stream(opened))
     } else {
         whole_answer(exchange, slot, upstream, head, headers, body)
             .await
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -257,6 +257,15 @@
         });
     }
 
+    /// Records that a runner began to serve a request.
+    pub(crate) fn began(&self, service: &ServiceId, runner: &RunnerId) {
+        let now = self.now();
+        self.with_service(service, |state| {
+            let wakes = state.pool.began(now, runner);
+            state.deliver(now, wakes);
+        });
+    }
+
     /// Records that a request left a runner.
     pub(crate) fn ended(&self, service: &ServiceId, runner: &RunnerId, status: RunnerStatus) {
         let now = self.now();
@@ -312,6 +321,10 @@
     PoolLimits {
         per_runner,
         unreported,
+        in_groups: target
+            .engine
+            .as_ref()
+            .is_some_and(|engine| engine.experts.is_some()),
         waiting: MAX_WAITING,
         wait_share: WAIT_SHARE,
     }
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -41,7 +41,7 @@
 /// asks every second and needs two misses.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_500);
 /// Time before the end of the grace at which what is left is cut off.
-const STOP_MARGIN: Duration = Duration::from_millis(300);
+const STOP_MARGIN: Duration = Duration::from_millis(800);
 /// Factor on the declared idle time after which a connection is closed, so
 /// that callers who go by the declared time never meet the close.
 const IDLE_FACTOR: u32 = 2;
