Let silent streams wait at groups that make passes; fewer requests at slow ones

Ruled out: maps (139 changes, most skews below 1.5), refusals, the store.

Now silence moves a stream only if its group makes no passes, and a group whose passes are longer than streams allow gets fewer requests at once.

--- a/crates/core/src/gateway/declaration.rs
+++ b/crates/core/src/gateway/declaration.rs
@@ -223,6 +223,20 @@
         self.services.values()
     }
 
+    /// Returns the shortest pause between events that any route to a service
+    /// allows; `None` for services without streams.
+    pub fn shortest_pause(&self, service: &ServiceId) -> Option<Duration> {
+        let routes = self.hosts.values().flatten();
+        let to_service = |route: &&Arc<Route>| {
+            let mut shares = route.shares.iter();
+            shares.any(|share| share.service == *service)
+        };
+        routes
+            .filter(to_service)
+            .filter_map(|route| route.pause)
+            .min()
+    }
+
     /// Returns what is allowed a request for a host and path with a key.
     ///
     /// # Errors
--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -36,6 +36,12 @@
 const RATE_WINDOW: Duration = Duration::from_secs(2);
 /// Age at which a load report says nothing any more.
 const REPORT_LIFE: Duration = Duration::from_millis(1500);
+/// Requests that a runner of a slow group still gets, so that its pace is
+/// known and it comes back.
+const LEAST_ROOM: u32 = 3;
+/// Age up to which a report shows that its group makes passes: a busy one
+/// reports with every pass, and a slow pass takes a quarter of a second.
+const PROGRESS_AGE: Duration = Duration::from_millis(500);
 /// Load that a runner's slowness after its start is worth.
 const COLD_PENALTY: f64 = 0.5;
 /// Slowness of one runner that another data centre is worth.
@@ -116,12 +122,35 @@
     pub unreported: u32,
     /// Whether runners work in groups, all of whose ranks refuse together.
     pub in_groups: bool,
+    /// Longest pass with which streams stay on time; `None` for services
+    /// without streams. Slower groups get fewer requests at once.
+    pub longest_pass: Option<Duration>,
     /// Requests that wait at most.
     pub waiting: usize,
     /// Share of the time until the deadline that a request may wait.
     pub wait_share: f64,
 }
 
+impl PoolLimits {
+    /// Returns how many requests a runner may hold at its group's pace.
+    ///
+    /// The load it answers: popularity shifts or a group is lost, passes take
+    /// several times as long, and every further request makes all streams
+    /// late. With fewer at once those that run stay on time.
+    fn at_pace(&self, load: &LoadReport) -> u32 {
+        let pass = load
+            .group
+            .as_ref()
+            .map_or(Duration::ZERO, |group| group.pass);
+        let Some(longest) = self.longest_pass.filter(|longest| pass > *longest) else {
+            return self.per_runner;
+        };
+        let share = longest.as_secs_f64() / pass.as_secs_f64();
+        let limit = (f64::from(self.per_runner) * share).round() as u32;
+        limit.clamp(LEAST_ROOM.min(self.per_runner), self.per_runner)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Runner {
     listed: ListedRunner,
@@ -171,7 +200,7 @@
 
     fn has_room(&self, now: Instant, limits: &PoolLimits) -> bool {
         match self.fresh_report(now) {
-            Some(_) => self.held(now) < limits.per_runner,
+            Some(report) => self.held(now) < limits.at_pace(&report.load),
             None => self.in_flight < limits.unreported,
         }
     }
@@ -278,6 +307,23 @@
         self.closed.remove(&None);
     }
 
+    /// Returns whether a runner's group was seen to make passes just now, so
+    /// that a request which hears nothing waits its turn there.
+    pub fn is_progressing(&self, now: Instant, id: &RunnerId) -> bool {
+        let report = self
+            .runners
+            .get(id)
+            .and_then(|runner| runner.report.as_ref());
+        report.is_some_and(|report| {
+            let open = report
+                .load
+                .group
+                .as_ref()
+                .is_some_and(|group| group.is_open);
+            open && now.saturating_duration_since(report.at) < PROGRESS_AGE
+        })
+    }
+
     /// Returns whether a runner takes work.
     pub fn has_runner(&self, now: Instant) -> bool {
         self.runners.values().any(|runner| runner.takes_work(now))
--- a/crates/core/tests/gateway_pool.rs
+++ b/crates/core/tests/gateway_pool.rs
@@ -21,6 +21,7 @@
     per_runner: 12,
     unreported: 3,
     in_groups: true,
+    longest_pass: Some(Duration::from_millis(96)),
     waiting: 8,
     wait_share: 0.5,
 };
@@ -101,6 +102,38 @@
     assert_eq!(taken, 8);
 }
 
+/// A group was lost and the other one takes its load: passes take three times
+/// as long as streams allow. More requests at once would make all of them late.
+#[test]
+fn a_slow_group_gets_fewer_requests_at_once() {
+    let now = Instant::now();
+    let taken = |pass_ms: u64| {
+        let mut pool = pool(now, 1);
+        let mut slow = report(0, true);
+        let group = slow.group.as_mut().expect("a group");
+        group.pass = Duration::from_millis(pass_ms);
+        pool.report(now, address(0), &slow);
+        let admitted = (0..20).map(|ticket| pool.admit(now, work(now, ticket)));
+        admitted.filter_map(chosen).count()
+    };
+    assert_eq!(taken(60), 12);
+    assert_eq!(taken(192), 6);
+    assert_eq!(taken(5_000), 3, "it is still tried");
+}
+
+#[test]
+fn a_group_that_reports_passes_is_told_from_one_that_stands_still() {
+    let now = Instant::now();
+    let mut pool = pool(now, 1);
+    let id = RunnerId::from("r0");
+    assert!(!pool.is_progressing(now, &id), "no report");
+    pool.report(now, address(0), &report(4, true));
+    assert!(pool.is_progressing(now + Duration::from_millis(300), &id));
+    assert!(!pool.is_progressing(now + Duration::from_millis(700), &id));
+    pool.report(now, address(0), &report(4, false));
+    assert!(!pool.is_progressing(now, &id), "the group is not open");
+}
+
 #[test]
 fn an_old_report_says_nothing() {
     let now = Instant::now();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -16,6 +16,7 @@
 use wisteriawick_core::gateway::RunnerStatus;
 use wisteriawick_core::gateway::StreamCheck;
 use wisteriawick_core::gateway::StreamFault;
+use wisteriawick_core::ids::RunnerId;
 use wisteriawick_platform::AnswerHead;
 use wisteriawick_platform::prepare_for_runner;
 use wisteriawick_platform::relayed_answer;
@@ -106,15 +107,16 @@
 /// Sends the request to the slot's runner and waits for a whole plain answer
 /// or the first event of a stream after `last_event`.
 pub(crate) async fn start(exchange: &Exchange, mut slot: Slot, last_event: Option<u64>) -> Opened {
+    let runner = slot.runner.id.clone();
     let patience = patience(exchange);
     let opening = open(exchange, &mut slot, last_event);
     let opened = match patience {
-        Some(patience) => tokio::time::timeout(patience, opening).await,
-        None => Ok(opening.await),
+        Some(patience) => wait_while_progressing(exchange, &runner, patience, opening).await,
+        None => Some(opening.await),
     };
     match opened {
-        Ok(Ok(Reply::Whole(whole))) => Opened::Whole(whole),
-        Ok(Ok(Reply::Stream(stream))) => Opened::Stream(OpenStream {
+        Some(Ok(Reply::Whole(whole))) => Opened::Whole(whole),
+        Some(Ok(Reply::Stream(stream))) => Opened::Stream(OpenStream {
             status: stream.head.status,
             headers: stream.headers,
             source: Source {
@@ -127,8 +129,8 @@
                 first: Some(stream.first),
             },
         }),
-        Ok(Err(ended)) => Opened::Ended(ended),
-        Err(_) => {
+        Some(Err(ended)) => Opened::Ended(ended),
+        None => {
             slot.set_status(RunnerStatus::Failed);
             let waited = patience.unwrap_or_default().as_millis();
             let detail = format!("nothing within {waited} ms");
@@ -137,6 +139,28 @@
     }
 }
 
+/// Waits for something of a runner; `None` when nothing came for a time and its
+/// group makes no passes.
+///
+/// A silent stream of a group that makes passes waits its turn there. To send
+/// it elsewhere would have its prompt read twice and slow all others down: in
+/// an overload that alone keeps the overload up.
+pub(crate) async fn wait_while_progressing<T>(
+    exchange: &Exchange,
+    runner: &RunnerId,
+    patience: Duration,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    tokio::pin!(work);
+    loop {
+        match tokio::time::timeout(patience, work.as_mut()).await {
+            Ok(done) => return Some(done),
+            Err(_) if exchange.hub.is_progressing(&exchange.service, runner) => {}
+            Err(_) => return None,
+        }
+    }
+}
+
 /// Returns how long this attempt may go without anything before another is
 /// made; `None` leaves that to the time of the whole request.
 fn patience(exchange: &Exchange) -> Option<Duration> {
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -51,6 +51,9 @@
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
 /// Requests that wait for one service at most.
 const MAX_WAITING: usize = 256;
+/// Part of the longest pause between events that a pass may take: an event
+/// comes with each pass, and passes differ.
+const PASS_SHARE: f64 = 0.8;
 /// Share of its remaining time that a request may wait for a runner.
 const WAIT_SHARE: f64 = 0.5;
 
@@ -146,7 +149,7 @@
         let roster = lock(&self.roster);
         let mut services = lock(&self.services);
         for target in declaration.services() {
-            let limits = pool_limits(target);
+            let limits = pool_limits(target, declaration.shortest_pause(&target.id));
             let state = services
                 .entry(target.id.clone())
                 .or_insert_with(|| self.new_service(now, limits));
@@ -257,6 +260,13 @@
         });
     }
 
+    /// Returns whether a runner's group was seen to make passes just now.
+    pub(crate) fn is_progressing(&self, service: &ServiceId, runner: &RunnerId) -> bool {
+        let now = self.now();
+        self.with_service(service, |state| state.pool.is_progressing(now, runner))
+            .unwrap_or(false)
+    }
+
     /// Records that a runner began to serve a request.
     pub(crate) fn began(&self, service: &ServiceId, runner: &RunnerId) {
         let now = self.now();
@@ -310,7 +320,7 @@
     }
 }
 
-fn pool_limits(target: &ServiceTarget) -> PoolLimits {
+fn pool_limits(target: &ServiceTarget, pause: Option<Duration>) -> PoolLimits {
     let (per_runner, unreported) = match &target.engine {
         Some(engine) => (
             engine.slots,
@@ -325,6 +335,7 @@
             .engine
             .as_ref()
             .is_some_and(|engine| engine.experts.is_some()),
+        longest_pass: pause.map(|pause| pause.mul_f64(PASS_SHARE)),
         waiting: MAX_WAITING,
         wait_share: WAIT_SHARE,
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -95,7 +95,7 @@
     async fn next_or_resume(&mut self) -> Option<std::io::Result<Bytes>> {
         loop {
             let source = self.source.as_mut()?;
-            match next_of(source).await {
+            match next_of(&self.exchange, source).await {
                 Ok(Some(event)) => {
                     self.events += 1;
                     return Some(Ok(event));
@@ -172,12 +172,13 @@
     }
 }
 
-async fn next_of(source: &mut Source) -> Result<Option<Bytes>, String> {
+async fn next_of(exchange: &Exchange, source: &mut Source) -> Result<Option<Bytes>, String> {
     if let Some(first) = source.first.take() {
         return Ok(Some(first));
     }
+    let runner = source.slot.runner.id.clone();
     let next = attempt::next_event(&mut source.body, &mut source.splitter, &mut source.check);
-    tokio::time::timeout(EVENT_PATIENCE, next)
+    attempt::wait_while_progressing(exchange, &runner, EVENT_PATIENCE, next)
         .await
-        .unwrap_or_else(|_| Err("no event in time".into()))
+        .unwrap_or_else(|| Err("no event in time".into()))
 }
