--- a/src/rank/lead.rs
+++ b/src/rank/lead.rs
@@ -50,6 +50,8 @@
 
 /// Time between two looks at whether a plan pays.
 const PLAN_EVERY: Duration = Duration::from_millis(100);
+/// Time between two log lines of a group's pace.
+const PACE_EVERY: Duration = Duration::from_secs(1);
 /// Time between two steps of the switch without news.
 const TICK: Duration = Duration::from_millis(20);
 /// Time between two looks at who is there and how groups are shaped.
@@ -94,6 +96,7 @@
     experts: Vec<Option<ExpertsWire>>,
     dialers: HashMap<SocketAddr, CancellationToken>,
     planned_at: Instant,
+    paced_at: Instant,
     refreshed_at: Option<Instant>,
     /// Runner addresses of ranks, also of those whose link is down.
     runners: Vec<Option<SocketAddr>>,
@@ -182,6 +185,7 @@
                 _ = ticks.tick() => {
                     self.feed(&mut reign, HeldInput::Tick);
                     self.plan(&mut reign);
+                    self.log_pace(&mut reign);
                     self.refresh(&mut reign, &events_tx, &stop).await;
                 }
                 () = stop.cancelled() => return,
@@ -310,6 +314,34 @@
         });
     }
 
+    /// Logs the group's pace every second while it works, so that late streams
+    /// can be traced to a slow rank, a long queue or a skewed map.
+    fn log_pace(&self, reign: &mut Reign) {
+        let now = self.clock.now();
+        if now.saturating_duration_since(reign.paced_at) < PACE_EVERY {
+            return;
+        }
+        reign.paced_at = now;
+        let running: u32 = reign.loads.iter().map(|load| u32::from(load.running)).sum();
+        let waiting: u32 = reign.loads.iter().map(|load| u32::from(load.waiting)).sum();
+        if running == 0 {
+            return;
+        }
+        let fullest = reign.loads.iter().map(|load| load.running).max();
+        let slowest = reign.loads.iter().enumerate();
+        let slowest = slowest.max_by_key(|(_, load)| load.pace_milli);
+        let fields = json!({
+            "group": reign.group,
+            "pass_ms": f64::from(reign.passes.mean_us()) / 1000.0,
+            "running": running,
+            "fullest": fullest,
+            "waiting": waiting,
+            "slowest_rank": slowest.map(|(rank, _)| rank),
+            "slowest_pace": slowest.map(|(_, load)| f64::from(load.pace_milli) / 1000.0),
+        });
+        self.log.line(Weight::State, "group_pace", fields);
+    }
+
     /// Publishes the group's load for entries.
     fn publish_load(&self, reign: &mut Reign, own: &OwnRank) {
         reign.loads[0] = LoadWire::from(&own.load);
@@ -495,6 +527,7 @@
             experts: vec![None; own.state.size],
             dialers: HashMap::default(),
             planned_at: now,
+            paced_at: now,
             refreshed_at: None,
             runners,
             loads: vec![LoadWire::default(); own.state.size],
