Serve first what can still be on time

Requests that can be on time now go first; a slot of each engine is left for what other entries sent since the last report.

--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -36,6 +36,9 @@
 const RATE_WINDOW: Duration = Duration::from_secs(2);
 /// Age at which a load report says nothing any more.
 const REPORT_LIFE: Duration = Duration::from_millis(1500);
+/// Time from its start at a runner until a request's answer begins: about the
+/// median of the first event of a stream.
+const START_TIME: Duration = Duration::from_millis(160);
 /// Requests that a runner of a slow group still gets, so that its pace is
 /// known and it comes back.
 const LEAST_ROOM: u32 = 3;
@@ -66,6 +69,13 @@
     pub excluded: Vec<RunnerId>,
 }
 
+impl Work {
+    /// Returns whether the request is on time if it runs now.
+    fn can_be_on_time(&self, now: Instant) -> bool {
+        now + START_TIME <= self.on_time
+    }
+}
+
 /// A runner that was chosen.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
@@ -346,11 +356,7 @@
         if !self.may_wait(now, &work) {
             return self.refuse();
         }
-        let rank = |work: &Work| (work.priority, work.on_time);
-        let at = self
-            .waiting
-            .partition_point(|held| rank(held) <= rank(&work));
-        self.waiting.insert(at, work);
+        self.waiting.push(work);
         Admission::Wait
     }
 
@@ -452,26 +458,28 @@
     }
 
     /// Lets waiting requests go on, and turns away those that wait in vain.
+    ///
+    /// The load it answers: one of two groups is lost, and more requests come
+    /// than can run. First come, first served would let each wait until it is
+    /// late; those that can still be on time go first, and late ones take what
+    /// is left.
     pub fn wake(&mut self, now: Instant) -> Vec<Wake> {
         let mut wakes = Vec::new();
-        let mut at = 0;
-        while at < self.waiting.len() {
-            let work = self.waiting[at].clone();
-            if let Some(candidate) = self.choose(now, &work) {
-                self.waiting.remove(at);
-                wakes.push(Wake {
-                    ticket: work.ticket,
-                    admission: Admission::Run(candidate),
-                });
-            } else if now >= self.latest_start(&work) {
-                self.waiting.remove(at);
-                wakes.push(Wake {
-                    ticket: work.ticket,
-                    admission: self.refuse(),
-                });
-            } else {
-                at += 1;
-            }
+        let rank = |work: &Work| (work.priority, !work.can_be_on_time(now), work.on_time);
+        self.waiting.sort_by_key(rank);
+        for work in std::mem::take(&mut self.waiting) {
+            let admission = match self.choose(now, &work) {
+                Some(candidate) => Admission::Run(candidate),
+                None if now >= work.deadline => self.refuse(),
+                None => {
+                    self.waiting.push(work);
+                    continue;
+                }
+            };
+            wakes.push(Wake {
+                ticket: work.ticket,
+                admission,
+            });
         }
         wakes
     }
@@ -521,10 +529,6 @@
         held + far + cold + f64::from(runner.failures)
     }
 
-    fn latest_start(&self, work: &Work) -> Instant {
-        work.deadline
-    }
-
     fn may_wait(&self, now: Instant, work: &Work) -> bool {
         if self.waiting.len() >= self.limits.waiting {
             return false;
--- a/crates/core/tests/gateway_pool.rs
+++ b/crates/core/tests/gateway_pool.rs
@@ -245,6 +245,47 @@
     assert!(matches!(late[0].admission, Admission::Refuse { .. }));
 }
 
+/// Twice as many requests come as one runner can serve: first come, first
+/// served would make all of them late after the first second.
+#[test]
+fn in_an_overload_most_that_run_are_on_time() {
+    const COME_EVERY_MS: u64 = 20;
+    const SERVED_IN_MS: u64 = 120;
+    let now = Instant::now();
+    let at = |ms| now + Duration::from_millis(ms);
+    let mut pool = pool(now, 1);
+    let mut arrived = Vec::new();
+    let mut running: Vec<(u64, RunnerId)> = Vec::new();
+    let (mut on_time, mut late) = (0, 0);
+    for ms in 0..6_000 {
+        let mut started = Vec::new();
+        if ms % COME_EVERY_MS == 0 {
+            let ticket = arrived.len() as u64;
+            arrived.push(ms);
+            let id = chosen(pool.admit(at(ms), work(at(ms), ticket)));
+            started.extend(id.map(|id| (ticket, id)));
+        }
+        let (done, left) = running.into_iter().partition(|(end, _)| *end == ms);
+        running = left;
+        let mut wakes = pool.wake(at(ms));
+        for (_, id) in done {
+            wakes.extend(pool.ended(at(ms), &id, RunnerStatus::Served));
+        }
+        for wake in wakes {
+            let ticket = wake.ticket.0;
+            started.extend(chosen(wake.admission).map(|id| (ticket, id)));
+        }
+        for (ticket, id) in started {
+            match ms - arrived[ticket as usize] <= 240 {
+                true => on_time += 1,
+                false => late += 1,
+            }
+            running.push((ms + SERVED_IN_MS, id));
+        }
+    }
+    assert!(on_time > 8 * late, "{on_time} on time, {late} late");
+}
+
 #[test]
 fn beyond_what_can_wait_requests_are_turned_away_at_once() {
     let now = Instant::now();
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -320,10 +320,14 @@
     }
 }
 
+/// Slots of an engine that are left free for what other entries sent since the
+/// last report, so that requests wait here and not at the engine.
+const SPARE_SLOTS: u32 = 1;
+
 fn pool_limits(target: &ServiceTarget, pause: Option<Duration>) -> PoolLimits {
     let (per_runner, unreported) = match &target.engine {
         Some(engine) => (
-            engine.slots,
+            engine.slots.saturating_sub(SPARE_SLOTS).max(1),
             (engine.slots as usize).div_ceil(ENTRIES) as u32,
         ),
         None => (PLAIN_PER_RUNNER, PLAIN_PER_RUNNER),
