--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -5,6 +5,10 @@
 //! the last moment; each runner holds only as much as it serves well. What
 //! cannot begin in time is refused at once.
 
+mod limits;
+mod runner;
+mod work;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,11 +16,20 @@
 use std::time::Instant;
 
 use crate::gateway::LoadReport;
+use crate::gateway::pool::runner::Reported;
+use crate::gateway::pool::runner::Runner;
 use crate::hosting::ListedRunner;
-use crate::hosting::ListedState;
 use crate::ids::PlaceId;
 use crate::ids::RunnerId;
 
+pub use limits::PoolLimits;
+pub use work::Admission;
+pub use work::Candidate;
+pub use work::RunnerStatus;
+pub use work::TicketId;
+pub use work::Wake;
+pub use work::Work;
+
 /// First absence of a runner that failed; doubles with each further failure.
 const FIRST_ABSENCE: Duration = Duration::from_millis(500);
 /// Longest absence, so that a runner that is well again is found.
@@ -34,14 +47,6 @@
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(4);
 /// Time constant of the measured rate at which requests end.
 const RATE_WINDOW: Duration = Duration::from_secs(2);
-/// Age at which a load report says nothing any more.
-const REPORT_LIFE: Duration = Duration::from_millis(1500);
-/// Time from its start at a runner until a request's answer begins: about the
-/// median of the first event of a stream.
-const START_TIME: Duration = Duration::from_millis(160);
-/// Requests that a runner of a slow group still gets, so that its pace is
-/// known and it comes back.
-const LEAST_ROOM: u32 = 3;
 /// Age up to which a report shows that its group makes passes: a busy one
 /// reports with every pass, and a slow pass takes a quarter of a second.
 const PROGRESS_AGE: Duration = Duration::from_millis(500);
@@ -50,176 +55,6 @@
 /// Slowness of one runner that another data centre is worth.
 const FAR_PENALTY: f64 = 0.15;
 
-/// Names a waiting request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct TicketId(pub u64);
-
-/// What a request needs to be placed.
-#[derive(Clone, Debug)]
-pub struct Work {
-    /// Its name while it waits.
-    pub ticket: TicketId,
-    /// Rank; zero goes first.
-    pub priority: u32,
-    /// When its answer must have begun to be on time.
-    pub on_time: Instant,
-    /// When nobody waits for it any more.
-    pub deadline: Instant,
-    /// Runners that it must not reach again.
-    pub excluded: Vec<RunnerId>,
-}
-
-impl Work {
-    /// Returns whether the request is on time if it runs now.
-    fn can_be_on_time(&self, now: Instant) -> bool {
-        now + START_TIME <= self.on_time
-    }
-}
-
-/// A runner that was chosen.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Candidate {
-    /// The runner.
-    pub runner: ListedRunner,
-}
-
-/// What becomes of a request.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Admission {
-    /// Send it to this runner.
-    Run(Candidate),
-    /// It waits; a [`Wake`] follows.
-    Wait,
-    /// Turn it away.
-    Refuse {
-        /// When there will be room.
-        retry_after: Duration,
-    },
-}
-
-/// A waiting request that goes on.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Wake {
-    /// The request.
-    pub ticket: TicketId,
-    /// What becomes of it; never `Wait`.
-    pub admission: Admission,
-}
-
-/// Whether a runner served what it was sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RunnerStatus {
-    /// It answered.
-    Served,
-    /// The caller left; nothing is known of the runner.
-    Abandoned,
-    /// It said that it is full.
-    Busy,
-    /// It broke off, failed or did not answer.
-    Failed,
-    /// Its address belongs to another runner now.
-    Replaced,
-}
-
-/// Limits of a pool.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PoolLimits {
-    /// Requests of all entries that one runner holds at most, as far as its
-    /// reports tell.
-    pub per_runner: u32,
-    /// Requests of this entry that one runner holds at most while no report
-    /// tells what others send it.
-    pub unreported: u32,
-    /// Whether runners work in groups, all of whose ranks refuse together.
-    pub in_groups: bool,
-    /// Longest pass with which streams stay on time; `None` for services
-    /// without streams. Slower groups get fewer requests at once.
-    pub longest_pass: Option<Duration>,
-    /// Requests that wait at most.
-    pub waiting: usize,
-    /// Share of the time until the deadline that a request may wait.
-    pub wait_share: f64,
-}
-
-impl PoolLimits {
-    /// Returns how many requests a runner may hold at its group's pace.
-    ///
-    /// The load it answers: popularity shifts or a group is lost, passes take
-    /// several times as long, and every further request makes all streams
-    /// late. With fewer at once those that run stay on time.
-    fn at_pace(&self, load: &LoadReport) -> u32 {
-        let pass = load
-            .group
-            .as_ref()
-            .map_or(Duration::ZERO, |group| group.pass);
-        let Some(longest) = self.longest_pass.filter(|longest| pass > *longest) else {
-            return self.per_runner;
-        };
-        let share = longest.as_secs_f64() / pass.as_secs_f64();
-        let limit = (f64::from(self.per_runner) * share).round() as u32;
-        limit.clamp(LEAST_ROOM.min(self.per_runner), self.per_runner)
-    }
-}
-
-#[derive(Clone, Debug)]
-struct Runner {
-    listed: ListedRunner,
-    /// Own requests at it.
-    in_flight: u32,
-    failures: u32,
-    absent_until: Option<Instant>,
-    report: Option<Reported>,
-    /// Whether it is gone from the list; kept while requests are at it.
-    gone: bool,
-}
-
-#[derive(Clone, Debug)]
-struct Reported {
-    at: Instant,
-    load: LoadReport,
-    /// Own requests at the runner when the report came.
-    own: u32,
-}
-
-impl Runner {
-    fn takes_work(&self, now: Instant) -> bool {
-        let open = match self.fresh_report(now) {
-            Some(Reported { load, .. }) => load.group.as_ref().is_none_or(|group| group.is_open),
-            None => true,
-        };
-        open && !self.gone
-            && self.listed.state == ListedState::Ready
-            && self.absent_until.is_none_or(|until| now >= until)
-    }
-
-    fn fresh_report(&self, now: Instant) -> Option<&Reported> {
-        self.report
-            .as_ref()
-            .filter(|report| now.saturating_duration_since(report.at) < REPORT_LIFE)
-    }
-
-    /// Returns the requests of all entries at the runner: own ones as they
-    /// are, others' as of its last report.
-    fn held(&self, now: Instant) -> u32 {
-        let others = self.fresh_report(now).map_or(0, |report| {
-            let reported = report.load.running + report.load.waiting;
-            reported.saturating_sub(report.own)
-        });
-        self.in_flight + others
-    }
-
-    fn has_room(&self, now: Instant, limits: &PoolLimits) -> bool {
-        match self.fresh_report(now) {
-            Some(report) => self.held(now) < limits.at_pace(&report.load),
-            None => self.in_flight < limits.unreported,
-        }
-    }
-
-    fn group(&self) -> Option<&Arc<str>> {
-        Some(&self.report.as_ref()?.load.group.as_ref()?.name)
-    }
-}
-
 /// A group that refused work.
 #[derive(Clone, Copy, Debug)]
 struct Closed {
@@ -334,11 +169,6 @@
         })
     }
 
-    /// Returns whether a runner takes work.
-    pub fn has_runner(&self, now: Instant) -> bool {
-        self.runners.values().any(|runner| runner.takes_work(now))
-    }
-
     /// Returns requests at runners and requests that wait.
     pub fn load(&self) -> (u32, usize) {
         let in_flight = self.runners.values().map(|runner| runner.in_flight).sum();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -70,7 +70,7 @@
     pub(crate) outcome: AttemptOutcome,
     pub(crate) detail: String,
     /// The runner's own failure, if that is what came.
-    pub(crate) failure: Option<WholeAnswer>,
+    pub(crate) failure: Option<Box<WholeAnswer>>,
     /// Whether the runner's connection broke while it ran the request.
     pub(crate) crashed: bool,
 }
@@ -81,7 +81,7 @@
     /// A plain answer.
     Whole(WholeAnswer),
     /// A stream.
-    Stream(OpenStream),
+    Stream(Box<OpenStream>),
     /// Nothing to pass on.
     Ended(Ended),
 }
@@ -116,7 +116,7 @@
     };
     match opened {
         Some(Ok(Reply::Whole(whole))) => Opened::Whole(whole),
-        Some(Ok(Reply::Stream(stream))) => Opened::Stream(OpenStream {
+        Some(Ok(Reply::Stream(stream))) => Opened::Stream(Box::new(OpenStream {
             status: stream.head.status,
             headers: stream.headers,
             source: Source {
@@ -128,7 +128,7 @@
                 check: stream.check,
                 first: Some(stream.first),
             },
-        }),
+        })),
         Some(Err(ended)) => Opened::Ended(ended),
         None => {
             slot.set_status(RunnerStatus::Failed);
@@ -177,7 +177,7 @@
 
 enum Reply {
     Whole(WholeAnswer),
-    Stream(FirstEvent),
+    Stream(Box<FirstEvent>),
 }
 
 struct FirstEvent {
@@ -235,7 +235,7 @@
     if exchange.permit.route.streams && head.status.is_success() {
         let opened = first_event(slot, upstream, head, headers, body, last_event).await?;
         exchange.hub.began(&exchange.service, &slot.runner.id);
-        Ok(Reply::Stream(opened))
+        Ok(Reply::Stream(Box::new(opened)))
     } else {
         whole_answer(exchange, slot, upstream, head, headers, body)
             .await
@@ -319,7 +319,7 @@
     lock(&hub.strikes).clear(exchange.fingerprint);
     if head.status.is_server_error() {
         return Err(Ended {
-            failure: Some(answer),
+            failure: Some(Box::new(answer)),
             ..Ended::new(
                 AttemptOutcome::Failed,
                 format!("status {}", head.status.as_u16()),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -204,7 +204,7 @@
         let ended = match opened {
             Opened::Whole(whole) => return exchange.pass_on(whole, &runner),
             Opened::Stream(stream) => {
-                return relay::answer(Arc::clone(exchange), tried.plan, stream);
+                return relay::answer(Arc::clone(exchange), tried.plan, *stream);
             }
             Opened::Ended(ended) => ended,
         };
@@ -212,7 +212,7 @@
             NextStep::Again => {}
             NextStep::PassOn => {
                 if let Some(failure) = ended.failure {
-                    return exchange.pass_on(failure, &runner);
+                    return exchange.pass_on(*failure, &runner);
                 }
                 return exchange.unknown();
             }
--- a/src/rank/lead.rs
+++ b/src/rank/lead.rs
@@ -1,9 +1,9 @@
 //! The leader of a group: the agent of rank 0 gathers, plans and switches.
 
+mod reign;
+
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use metrics::counter;
 use metrics::gauge;
@@ -12,14 +12,11 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
-use wisteriawick_core::collections::HashMap;
 use wisteriawick_core::gateway::ExpertLayout;
 use wisteriawick_core::hosting::HostSettings;
 use wisteriawick_core::maps::CopyBounds;
-use wisteriawick_core::maps::ExpertMap;
 use wisteriawick_core::maps::HeldInput;
 use wisteriawick_core::maps::HeldOutput;
-use wisteriawick_core::maps::HeldSwitch;
 use wisteriawick_core::maps::MapNumber;
 use wisteriawick_core::maps::RankOrder;
 use wisteriawick_core::maps::plan_copies;
@@ -32,13 +29,12 @@
 use crate::eventlog::EventLog;
 use crate::eventlog::Weight;
 use crate::rank::api::carry_out;
-use crate::rank::counts::CountWindow;
+use crate::rank::lead::reign::PeerLink;
+use crate::rank::lead::reign::Reign;
 use crate::rank::member::MemberHandle;
 use crate::rank::member::OwnRank;
-use crate::rank::passes::PassTimes;
 use crate::rank::peers::Dialer;
 use crate::rank::peers::PeerEvent;
-use crate::rank::wire::ExpertsWire;
 use crate::rank::wire::GroupLoadWire;
 use crate::rank::wire::LeaderMessage;
 use crate::rank::wire::LoadWire;
@@ -86,28 +82,6 @@
     load: watch::Sender<Option<GroupLoadWire>>,
 }
 
-/// What is known while this agent leads a group.
-struct Reign {
-    group: String,
-    size: usize,
-    switch: HeldSwitch,
-    counts: CountWindow,
-    links: HashMap<usize, PeerLink>,
-    experts: Vec<Option<ExpertsWire>>,
-    dialers: HashMap<SocketAddr, CancellationToken>,
-    planned_at: Instant,
-    paced_at: Instant,
-    refreshed_at: Option<Instant>,
-    /// Runner addresses of ranks, also of those whose link is down.
-    runners: Vec<Option<SocketAddr>>,
-    loads: Vec<LoadWire>,
-    passes: PassTimes,
-}
-
-struct PeerLink {
-    orders: mpsc::Sender<LeaderMessage>,
-}
-
 impl Lead {
     pub(crate) fn new(
         settings: HostSettings,
@@ -513,58 +487,3 @@
         tokio::spawn(dialer.run(stop));
     }
 }
-
-impl Reign {
-    fn new(own: &OwnRank, runner: Option<SocketAddr>, now: Instant) -> Self {
-        let mut runners = vec![None; own.state.size];
-        runners[0] = runner;
-        Self {
-            group: own.state.group.clone(),
-            size: own.state.size,
-            switch: HeldSwitch::new(own.state.size),
-            counts: CountWindow::default(),
-            links: HashMap::default(),
-            experts: vec![None; own.state.size],
-            dialers: HashMap::default(),
-            planned_at: now,
-            paced_at: now,
-            refreshed_at: None,
-            runners,
-            loads: vec![LoadWire::default(); own.state.size],
-            passes: PassTimes::default(),
-        }
-    }
-
-    /// Tells all members where the group's runners are.
-    fn tell_runners(&self) {
-        for link in self.links.values() {
-            // A member that misses this learns it with the next link.
-            let _ = link
-                .orders
-                .try_send(LeaderMessage::Runners(self.runners.clone()));
-        }
-    }
-
-    fn is_of(&self, own: &OwnRank) -> bool {
-        own.state.rank == 0 && own.state.group == self.group && own.state.size == self.size
-    }
-
-    /// Puts together the map in use from what each rank says that it holds.
-    fn current_map(&self, epoch: u64, number: MapNumber) -> Option<Arc<ExpertMap>> {
-        let ranks: Option<Vec<&ExpertsWire>> = self.experts.iter().map(Option::as_ref).collect();
-        let ranks = ranks?;
-        let same = |held: &&ExpertsWire| held.epoch == epoch && held.map == number.0;
-        if !ranks.iter().all(same) {
-            return None;
-        }
-        let sets = ranks.first()?.experts.len();
-        let set = |at: usize| -> Option<Vec<Vec<u16>>> {
-            ranks
-                .iter()
-                .map(|held| held.experts.get(at).cloned())
-                .collect()
-        };
-        let sets: Option<Vec<_>> = (0..sets).map(set).collect();
-        Some(Arc::new(ExpertMap { sets: sets? }))
-    }
-}
--- a/src/rank/link.rs
+++ b/src/rank/link.rs
@@ -136,7 +136,10 @@
     let place = PlaceWire::from(&own.state);
     let leads = place.rank == 0;
     link.send(&GroupMessage::Place(place)).await?;
-    while leads {
+    if !leads {
+        return Ok(());
+    }
+    loop {
         let load = group.load.borrow_and_update().clone();
         if let Some(load) = load {
             link.send(&GroupMessage::Load(load)).await?;
@@ -144,7 +147,6 @@
         tokio::time::sleep(LOAD_PAUSE).await;
         group.load.changed().await.map_err(std::io::Error::other)?;
     }
-    Ok(())
 }
 
 /// What the leader at the other end of a link was told.
