--- a/src/command/timeline/html.rs
+++ b/src/command/timeline/html.rs
@@ -111,14 +111,18 @@
 }
 
 /// Returns a colour by what kind of news an event is.
+/// Returns the colour of an event's kind, of fleets of our own and of hosted
+/// processes.
 fn color(kind: &str) -> &'static str {
     match kind {
-        "link-down" | "runner-suspect" | "endpoint-died" | "platform-down" | "map-disarmed" => {
-            "#c0392b"
-        }
-        "shed" | "request-blocked" | "shard-lost" | "runner-leaving" | "shutting-down" => "#d68910",
-        "ticket-in-force" => "#1f618d",
+        "link-down" | "runner-suspect" | "endpoint-died" | "platform-down" | "map-disarmed"
+        | "runner_lost" | "store_lost" | "leader_lost" | "peer_lost" | "failed" | "timed_out"
+        | "broken_off" | "hold_found" | "resolving_hold" | "map_given_up" => "#c0392b",
+        "shed" | "request-blocked" | "shard-lost" | "runner-leaving" | "shutting-down"
+        | "refused" | "denied" | "attempt_ended" | "runner_removed" | "stopping" => "#d68910",
+        "ticket-in-force" | "declaration" => "#1f618d",
         kind if kind.starts_with("map-") || kind == "group-led" => "#7d3c98",
+        kind if kind.starts_with("map_") || kind == "leads" => "#7d3c98",
         _ => "#229954",
     }
 }
