Judge runners by what requests meet there; strikes need a crash; budgets by the entries there are

A 5xx of a runner counted as served, so the sick runner was the least loaded one and got nearly all traffic (busiest/mean 6.18). Ruled out: retry budget (both attempts met sick runners), entries that were cut off.

Now a runner's own errors leave it out for a growing time, and the share of failures of late adds to its load; where more than half err, none is left out.

Strikes: an answer that broke off by itself counted like a crash for a minute. It now counts for four seconds unless its runner is gone, reborn or refuses connections.

Retry budget: the fixed part was divided by four whatever the number of entries; with eight, all together could send twice what they may. Leaders tell how many entries are linked to them.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -7,6 +7,7 @@
 //! which serves the path through agents.
 
 mod attempt;
+mod crowd;
 mod declaration;
 mod events;
 mod latest;
@@ -19,6 +20,7 @@
 pub use attempt::AttemptOutcome;
 pub use attempt::NextStep;
 pub use attempt::RequestPlan;
+pub use crowd::Crowd;
 pub use declaration::CallerLimits;
 pub use declaration::Declaration;
 pub use declaration::Denied;
--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -5,6 +5,7 @@
 //! the last moment; each runner holds only as much as it serves well. What
 //! cannot begin in time is refused at once.
 
+mod health;
 mod limits;
 mod runner;
 mod work;
@@ -16,6 +17,7 @@
 use std::time::Instant;
 
 use crate::gateway::LoadReport;
+use crate::gateway::pool::health::Health;
 use crate::gateway::pool::runner::Reported;
 use crate::gateway::pool::runner::Runner;
 use crate::hosting::ListedRunner;
@@ -30,12 +32,6 @@
 pub use work::Wake;
 pub use work::Work;
 
-/// First absence of a runner that failed; doubles with each further failure.
-const FIRST_ABSENCE: Duration = Duration::from_millis(500);
-/// Longest absence, so that a runner that is well again is found.
-const LONGEST_ABSENCE: Duration = Duration::from_secs(4);
-/// Failures in a row before a runner is left out.
-const FAILURES_BEFORE_ABSENCE: u32 = 2;
 /// How long a runner or group that refused is left alone: about two passes.
 /// Doubled with each further refusal of a group, which takes a second or more
 /// to form again.
@@ -54,6 +50,12 @@
 const COLD_PENALTY: f64 = 0.5;
 /// Slowness of one runner that another data centre is worth.
 const FAR_PENALTY: f64 = 0.15;
+/// Load that it is worth when all requests at a runner failed of late: a third
+/// of failures outweighs a runner that is full.
+const FAILURE_PENALTY: f64 = 3.0;
+/// Part of the runners that may be left out for their errors. Where more err,
+/// the requests are at fault or there is no better runner.
+const MAX_ERRING: f64 = 0.5;
 
 /// A group that refused work.
 #[derive(Clone, Copy, Debug)]
@@ -104,7 +106,7 @@
     }
 
     /// Takes the list of the service's runners.
-    pub fn set_runners(&mut self, listed: Vec<ListedRunner>) {
+    pub fn set_runners(&mut self, now: Instant, listed: Vec<ListedRunner>) {
         for runner in self.runners.values_mut() {
             runner.gone = true;
         }
@@ -114,8 +116,7 @@
                     let reborn = held.listed.born_ms != listed.born_ms
                         || held.listed.address != listed.address;
                     if reborn {
-                        held.failures = 0;
-                        held.absent_until = None;
+                        held.health = Health::new(now);
                         held.report = None;
                     }
                     held.listed = listed;
@@ -125,8 +126,7 @@
                     let runner = Runner {
                         listed: listed.clone(),
                         in_flight: 0,
-                        failures: 0,
-                        absent_until: None,
+                        health: Health::new(now),
                         report: None,
                         gone: false,
                     };
@@ -203,18 +203,12 @@
         if let Some(runner) = self.runners.get_mut(id) {
             runner.in_flight = runner.in_flight.saturating_sub(1);
             match status {
-                RunnerStatus::Served => runner.failures = 0,
+                RunnerStatus::Served => runner.health.served(now),
                 RunnerStatus::Abandoned => {}
                 RunnerStatus::Busy => {}
-                RunnerStatus::Failed => {
-                    runner.failures += 1;
-                    if runner.failures >= FAILURES_BEFORE_ABSENCE {
-                        let doubled = (runner.failures - FAILURES_BEFORE_ABSENCE).min(4);
-                        let absence = (FIRST_ABSENCE * 2u32.pow(doubled)).min(LONGEST_ABSENCE);
-                        runner.absent_until = Some(now + absence);
-                    }
-                }
-                RunnerStatus::Replaced => runner.absent_until = Some(now + LONGEST_ABSENCE),
+                RunnerStatus::Failed => runner.health.broke(now),
+                RunnerStatus::Erred => runner.health.erred(now),
+                RunnerStatus::Replaced => runner.health.replaced(now),
             }
             if runner.gone && runner.in_flight == 0 {
                 self.runners.remove(id);
@@ -236,7 +230,7 @@
         };
         let is_full = runner.held(now) >= runner.listed.slots;
         if is_full || !self.limits.in_groups {
-            runner.absent_until = runner.absent_until.max(Some(now + REFUSAL_REST));
+            runner.health.rest(now + REFUSAL_REST);
             return;
         }
         let group = runner.group().cloned();
@@ -317,12 +311,14 @@
     fn choose(&mut self, now: Instant, work: &Work) -> Option<Candidate> {
         self.turn = self.turn.wrapping_add(1);
         let count = self.runners.len().max(1) as u64;
+        let shuns_erring = self.shuns_erring(now);
         let start = (self.turn % count) as usize;
         let best = self
             .runners
             .values()
             .enumerate()
             .filter(|(_, runner)| runner.takes_work(now))
+            .filter(|(_, runner)| !shuns_erring || !runner.health.is_erring(now))
             .filter(|(_, runner)| self.group_takes_work(now, runner))
             .filter(|(_, runner)| runner.has_room(now, &self.limits))
             .filter(|(_, runner)| !work.excluded.contains(&runner.listed.id))
@@ -356,7 +352,15 @@
             true => 0.0,
             false => COLD_PENALTY,
         };
-        held + far + cold + f64::from(runner.failures)
+        let failures = FAILURE_PENALTY * runner.health.failure_share(now);
+        held + far + cold + failures
+    }
+
+    /// Returns whether runners that answer with errors are left out.
+    fn shuns_erring(&self, now: Instant) -> bool {
+        let is_erring = |runner: &&Runner| runner.health.is_erring(now);
+        let erring = self.runners.values().filter(is_erring).count();
+        erring as f64 <= self.runners.len() as f64 * MAX_ERRING
     }
 
     fn may_wait(&self, now: Instant, work: &Work) -> bool {
--- a/crates/core/src/gateway/pool/runner.rs
+++ b/crates/core/src/gateway/pool/runner.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::LoadReport;
 use crate::gateway::PoolLimits;
+use crate::gateway::pool::health::Health;
 use crate::hosting::ListedRunner;
 use crate::hosting::ListedState;
 
@@ -17,8 +18,7 @@
     pub(super) listed: ListedRunner,
     /// Own requests at it.
     pub(super) in_flight: u32,
-    pub(super) failures: u32,
-    pub(super) absent_until: Option<Instant>,
+    pub(super) health: Health,
     pub(super) report: Option<Reported>,
     /// Whether it is gone from the list; kept while requests are at it.
     pub(super) gone: bool,
@@ -38,9 +38,7 @@
             Some(Reported { load, .. }) => load.group.as_ref().is_none_or(|group| group.is_open),
             None => true,
         };
-        open && !self.gone
-            && self.listed.state == ListedState::Ready
-            && self.absent_until.is_none_or(|until| now >= until)
+        open && !self.gone && self.listed.state == ListedState::Ready && !self.health.is_broken(now)
     }
 
     pub(super) fn fresh_report(&self, now: Instant) -> Option<&Reported> {
--- a/crates/core/src/gateway/pool/work.rs
+++ b/crates/core/src/gateway/pool/work.rs
@@ -75,8 +75,10 @@
     Abandoned,
     /// It said that it is full.
     Busy,
-    /// It broke off, failed or did not answer.
+    /// It broke off or did not answer.
     Failed,
+    /// It answered with an error of its own.
+    Erred,
     /// Its address belongs to another runner now.
     Replaced,
 }
--- a/crates/core/src/gateway/repeats.rs
+++ b/crates/core/src/gateway/repeats.rs
@@ -17,6 +17,9 @@
 #[derive(Clone, Debug)]
 pub struct RepeatBudget {
     ratio: f64,
+    /// Fixed number of all entries.
+    shared_extra: u32,
+    /// This entry's part of it.
     extra: f64,
     window: Duration,
     requests: VecDeque<Instant>,
@@ -29,6 +32,7 @@
     pub fn new(ratio: f64, extra: u32, entries: usize, window: Duration) -> Self {
         Self {
             ratio,
+            shared_extra: extra,
             extra: f64::from(extra) / entries.max(1) as f64,
             window,
             requests: VecDeque::new(),
@@ -36,6 +40,11 @@
         }
     }
 
+    /// Changes the number of entries that share the fixed number.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.extra = f64::from(self.shared_extra) / entries.max(1) as f64;
+    }
+
     /// Records a caller's request.
     pub fn request(&mut self, now: Instant) {
         self.forget(now);
--- a/crates/core/src/gateway/roster.rs
+++ b/crates/core/src/gateway/roster.rs
@@ -82,6 +82,14 @@
         former.is_none_or(|former| former.lapsed || told(&former.runner) != news)
     }
 
+    /// Returns whether an entry is of another life of a runner than the held
+    /// one.
+    pub fn is_reborn(&self, runner: &ListedRunner) -> bool {
+        self.entries
+            .get(&runner.id)
+            .is_some_and(|held| held.runner.born_ms != runner.born_ms)
+    }
+
     /// Takes the removal of an entry.
     pub fn remove(&mut self, now: Instant, id: &RunnerId) {
         if !self.in_grace(now) {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -255,6 +255,7 @@
     }
     Upstream::connect(address).await.map_err(|e| {
         slot.set_status(RunnerStatus::Failed);
+        lock(&hub.strikes).runner_lost(hub.now(), &slot.runner.id);
         let (SendError::NotSent(detail) | SendError::MayHaveRun(detail)) = e;
         Ended::new(AttemptOutcome::NotSent, detail)
     })
@@ -306,7 +307,12 @@
             return Err(Ended::broken(format!("the answer broke off: {e}")));
         }
     };
-    slot.set_status(RunnerStatus::Served);
+    slot.set_status(match head.status {
+        // Its time was too short, which says nothing of the runner.
+        StatusCode::GATEWAY_TIMEOUT => RunnerStatus::Served,
+        status if status.is_server_error() => RunnerStatus::Erred,
+        _ => RunnerStatus::Served,
+    });
     let hub = &exchange.hub;
     if !head.closes {
         hub.upstreams.keep(hub.now(), upstream, head.keeps_for);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -232,7 +232,7 @@
     let hub = &exchange.hub;
     let now = hub.now();
     if ended.crashed {
-        lock(&hub.strikes).record(now, exchange.fingerprint);
+        lock(&hub.strikes).record(now, exchange.fingerprint, runner.clone());
     }
     tried.excluded.push(runner.clone());
     let spend = || {
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -21,6 +21,7 @@
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::collections::HashMap;
 use wisteriawick_core::gateway::Admission;
+use wisteriawick_core::gateway::Crowd;
 use wisteriawick_core::gateway::Declaration;
 use wisteriawick_core::gateway::Latest;
 use wisteriawick_core::gateway::LoadReport;
@@ -44,8 +45,8 @@
 use crate::gateway::upstream::Upstreams;
 use crate::telemetry;
 
-/// Entries among which a service's slots and retry budget are divided. A few
-/// entries stand before a service; one that is not there leaves its part unused.
+/// Entries among which a runner's slots are divided while no report tells what
+/// others send it. One that is not there leaves its part unused.
 const ENTRIES: usize = 4;
 /// Time between two looks at what waits, for runners that come back.
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
@@ -77,6 +78,7 @@
     pub(crate) roster: Mutex<Roster>,
     services: Mutex<HashMap<ServiceId, ServiceState>>,
     pub(crate) strikes: Mutex<Strikes>,
+    crowd: Mutex<Crowd>,
     rng: Mutex<SmallRng>,
     next_ticket: AtomicU64,
     has_roster: AtomicBool,
@@ -108,6 +110,7 @@
             roster: Mutex::default(),
             services: Mutex::default(),
             strikes: Mutex::default(),
+            crowd: Mutex::default(),
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
             next_ticket: AtomicU64::new(1),
             has_roster: AtomicBool::new(false),
@@ -154,7 +157,7 @@
                 .entry(target.id.clone())
                 .or_insert_with(|| self.new_service(now, limits));
             state.pool.set_limits(limits);
-            state.pool.set_runners(roster.of_service(&target.id));
+            state.pool.set_runners(now, roster.of_service(&target.id));
             let wakes = state.pool.wake(now);
             state.deliver(now, wakes);
         }
@@ -167,7 +170,7 @@
             budget: RepeatBudget::new(
                 bounds.repeat_ratio,
                 bounds.repeat_extra,
-                ENTRIES,
+                self.entries(now).into(),
                 bounds.repeat_window,
             ),
             waiters: HashMap::default(),
@@ -204,6 +207,24 @@
         });
     }
 
+    /// Takes a leader's count of entries, among which the retry budgets are
+    /// divided.
+    pub(crate) fn take_entry_count(&self, count: u16) {
+        lock(&self.crowd).take(self.now(), count);
+        self.share_budgets();
+    }
+
+    fn entries(&self, now: Instant) -> u16 {
+        lock(&self.crowd).count(now)
+    }
+
+    fn share_budgets(&self) {
+        let entries = self.entries(self.now()).into();
+        for state in lock(&self.services).values_mut() {
+            state.budget.set_entries(entries);
+        }
+    }
+
     pub(crate) fn set_has_roster(&self) {
         self.has_roster.store(true, Ordering::Relaxed);
     }
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -85,13 +85,15 @@
     let group = match first {
         GroupMessage::Place(place) if place.rank == 0 => place.group,
         GroupMessage::Place(_) => return FOLLOWER_PAUSE,
-        GroupMessage::Load(_) => return REDIAL_PAUSE,
+        GroupMessage::Load(_) | GroupMessage::Entries(_) => return REDIAL_PAUSE,
     };
     let fields = json!({"group": group, "agent": agent.to_string()});
     hub.log.line(Weight::State, "leader_met", fields.clone());
     while let Ok(message) = link.recv::<GroupMessage>().await {
-        if let GroupMessage::Load(load) = message {
-            hub.take_loads(service, &reports(&group, &load));
+        match message {
+            GroupMessage::Load(load) => hub.take_loads(service, &reports(&group, &load)),
+            GroupMessage::Entries(count) => hub.take_entry_count(count),
+            GroupMessage::Place(_) => {}
         }
     }
     hub.log.line(Weight::State, "leader_lost", fields);
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -153,14 +153,21 @@
                 "state": format!("{:?}", runner.state),
                 "address": runner.address.to_string(),
             });
+            let id = runner.id.clone();
+            let reborn = roster.is_reborn(&runner);
             if roster.write(runner) {
                 hub.log.line(Weight::State, "runner", fields);
             }
+            if reborn {
+                lock(&hub.strikes).runner_lost(now, &id);
+            }
         }
         Change::Removed { name } => {
             hub.log
                 .line(Weight::State, "runner_removed", json!({"runner": name}));
-            roster.remove(now, &name.as_str().into());
+            let id = name.as_str().into();
+            roster.remove(now, &id);
+            lock(&hub.strikes).runner_lost(now, &id);
         }
         Change::Unreadable { name, error } => {
             log_unreadable(hub, &error.to_string());
--- a/src/rank.rs
+++ b/src/rank.rs
@@ -58,7 +58,11 @@
     tokio::spawn(member.run(stop.clone()));
     let (load_tx, load) = watch::channel(None);
     let (runners, runners_rx) = watch::channel(Vec::new());
-    let group = GroupHandle { load, runners };
+    let group = GroupHandle {
+        load,
+        runners,
+        entries: Arc::default(),
+    };
     tokio::spawn(link::serve(listener, handle.clone(), group, stop.clone()));
     let resolver = Resolver::new(Arc::clone(&clock), log.clone(), handle.clone(), runners_rx);
     tokio::spawn(resolver.run(stop.clone()));
--- a/src/rank/link.rs
+++ b/src/rank/link.rs
@@ -5,6 +5,9 @@
 //! itself would not give. Nothing that a request needs depends on them.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -47,6 +50,8 @@
     pub(crate) load: watch::Receiver<Option<GroupLoadWire>>,
     /// Addresses of the group's runners by rank, as the leader told them.
     pub(crate) runners: watch::Sender<Vec<Option<SocketAddr>>>,
+    /// Entries that are linked to this agent while it leads.
+    pub(crate) entries: Arc<AtomicU16>,
 }
 
 /// A connection that carries messages.
@@ -139,7 +144,14 @@
     if !leads {
         return Ok(());
     }
+    let _linked = Linked::new(&group.entries);
+    let mut told = 0;
     loop {
+        let entries = group.entries.load(Ordering::Relaxed);
+        if entries != told {
+            link.send(&GroupMessage::Entries(entries)).await?;
+            told = entries;
+        }
         let load = group.load.borrow_and_update().clone();
         if let Some(load) = load {
             link.send(&GroupMessage::Load(load)).await?;
@@ -149,6 +161,22 @@
     }
 }
 
+/// Counts an entry while its link stands.
+struct Linked(Arc<AtomicU16>);
+
+impl Linked {
+    fn new(count: &Arc<AtomicU16>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(count))
+    }
+}
+
+impl Drop for Linked {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// What the leader at the other end of a link was told.
 #[derive(Default)]
 struct Told {
--- a/src/rank/wire.rs
+++ b/src/rank/wire.rs
@@ -33,6 +33,8 @@
     Place(PlaceWire),
     /// The group's load.
     Load(GroupLoadWire),
+    /// Entries that are linked to the leader now.
+    Entries(u16),
 }
 
 /// Load of a group.
