Plans by the pace of a group, loads by their age, lateness told

Reports now count as 150 ms old. - Streams log what made them late (first event or pause), once, with a counter.

--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -18,7 +18,6 @@
 
 use crate::gateway::LoadReport;
 use crate::gateway::pool::health::Health;
-use crate::gateway::pool::runner::Reported;
 use crate::gateway::pool::runner::Runner;
 use crate::hosting::ListedRunner;
 use crate::ids::PlaceId;
@@ -117,36 +116,26 @@
                         || held.listed.address != listed.address;
                     if reborn {
                         held.health = Health::new(now);
-                        held.report = None;
+                        held.forget_report();
                     }
                     held.listed = listed;
                     held.gone = false;
                 }
                 None => {
-                    let runner = Runner {
-                        listed: listed.clone(),
-                        in_flight: 0,
-                        health: Health::new(now),
-                        report: None,
-                        gone: false,
-                    };
-                    self.runners.insert(listed.id, runner);
+                    let id = listed.id.clone();
+                    self.runners.insert(id, Runner::new(now, listed));
                 }
             }
         }
         self.runners
-            .retain(|_, runner| !runner.gone || runner.in_flight > 0);
+            .retain(|_, runner| !runner.gone || runner.in_flight() > 0);
     }
 
     /// Takes a runner's report of its load.
     pub fn report(&mut self, now: Instant, address: SocketAddr, load: &LoadReport) {
         let at_address = |runner: &&mut Runner| runner.listed.address == address;
         if let Some(runner) = self.runners.values_mut().find(at_address) {
-            runner.report = Some(Reported {
-                at: now,
-                load: load.clone(),
-                own: runner.in_flight,
-            });
+            runner.take_report(now, load);
         }
         // What was held against runners of no known group is told by reports.
         self.closed.remove(&None);
@@ -155,10 +144,7 @@
     /// Returns whether a runner's group was seen to make passes just now, so
     /// that a request which hears nothing waits its turn there.
     pub fn is_progressing(&self, now: Instant, id: &RunnerId) -> bool {
-        let report = self
-            .runners
-            .get(id)
-            .and_then(|runner| runner.report.as_ref());
+        let report = self.runners.get(id).and_then(Runner::report);
         report.is_some_and(|report| {
             let open = report
                 .load
@@ -171,7 +157,7 @@
 
     /// Returns requests at runners and requests that wait.
     pub fn load(&self) -> (u32, usize) {
-        let in_flight = self.runners.values().map(|runner| runner.in_flight).sum();
+        let in_flight = self.runners.values().map(Runner::in_flight).sum();
         (in_flight, self.waiting.len())
     }
 
@@ -201,7 +187,7 @@
             self.count_end(now);
         }
         if let Some(runner) = self.runners.get_mut(id) {
-            runner.in_flight = runner.in_flight.saturating_sub(1);
+            runner.ended(now);
             match status {
                 RunnerStatus::Served => runner.health.served(now),
                 RunnerStatus::Abandoned => {}
@@ -210,7 +196,7 @@
                 RunnerStatus::Erred => runner.health.erred(now),
                 RunnerStatus::Replaced => runner.health.replaced(now),
             }
-            if runner.gone && runner.in_flight == 0 {
+            if runner.gone && runner.in_flight() == 0 {
                 self.runners.remove(id);
             }
         }
@@ -329,7 +315,7 @@
             .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
             .map(|(_, _, id)| id.clone())?;
         let runner = self.runners.get_mut(&best)?;
-        runner.in_flight += 1;
+        runner.began(now);
         if let Some(closed) = self.closed.get_mut(&runner.group().cloned()) {
             closed.tries += 1;
         }
--- a/crates/core/src/maps.rs
+++ b/crates/core/src/maps.rs
@@ -2,6 +2,7 @@
 //! all ranks of a group change at one and the same step.
 
 mod copy_plan;
+mod effort;
 mod forecast;
 mod held_switch;
 mod leader;
@@ -15,6 +16,7 @@
 pub use copy_plan::ExpertLoads;
 pub use copy_plan::plan_copies;
 pub use copy_plan::skew;
+pub use effort::PlanEffort;
 pub use forecast::Forecast;
 pub use held_switch::HeldInput;
 pub use held_switch::HeldOutput;
--- a/crates/core/tests/gateway_events.rs
+++ b/crates/core/tests/gateway_events.rs
@@ -1,6 +1,11 @@
 //! Streams of events are passed on whole and in order.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use wisteriawick_core::gateway::EventSplitter;
+use wisteriawick_core::gateway::Lateness;
+use wisteriawick_core::gateway::Punctuality;
 use wisteriawick_core::gateway::StreamCheck;
 use wisteriawick_core::gateway::StreamFault;
 
@@ -68,3 +73,22 @@
     let refused = (0..64).any(|_| splitter.push(&piece) == Err(StreamFault::TooLarge));
     assert!(refused);
 }
+
+#[test]
+fn what_made_a_stream_late_is_told_once() {
+    let now = Instant::now();
+    let at = |ms| now + Duration::from_millis(ms);
+    let new = || {
+        let pause = Some(Duration::from_millis(120));
+        Punctuality::new(now, Duration::from_millis(400), pause)
+    };
+    let mut slow_start = new();
+    assert_eq!(slow_start.event(at(401)), Some(Lateness::FirstEvent));
+    assert_eq!(slow_start.event(at(900)), None, "it is late already");
+    let mut stalled = new();
+    assert_eq!(stalled.event(at(400)), None);
+    assert_eq!(stalled.event(at(520)), None);
+    assert_eq!(stalled.event(at(641)), Some(Lateness::Pause));
+    assert_eq!(stalled.longest_pause(), Duration::from_millis(121));
+    assert_eq!(stalled.first(), Some(Duration::from_millis(400)));
+}
--- a/crates/core/tests/gateway_pool.rs
+++ b/crates/core/tests/gateway_pool.rs
@@ -428,3 +428,25 @@
     }
     assert!(chosen(pool.admit(now, work(now, 41))).is_some());
 }
+
+/// Two runners, and many requests a second: a report that left its runner
+/// before the last requests came there must not make it look free.
+#[test]
+fn requests_that_a_report_does_not_know_yet_still_count() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut pool = pool(start, 2);
+    pool.report(start, address(0), &report(2, true));
+    pool.report(start, address(1), &report(6, true));
+    let mut sent = Vec::new();
+    for ticket in 0..4 {
+        sent.extend(chosen(pool.admit(at(100), work(at(100), ticket))));
+        // The runner was read before these requests reached it.
+        pool.report(at(101), address(0), &report(2, true));
+        pool.report(at(101), address(1), &report(6, true));
+    }
+    assert_eq!(sent, vec![RunnerId::from("r0"); 4]);
+    let next = chosen(pool.admit(at(102), work(at(102), 9)));
+    let after = chosen(pool.admit(at(102), work(at(102), 10)));
+    assert!(next != after, "both are as loaded now: {next:?}, {after:?}");
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,10 +12,13 @@
 use metrics::counter;
 use serde_json::json;
 use wisteriawick_core::gateway::AttemptOutcome;
+use wisteriawick_core::gateway::Lateness;
 use wisteriawick_core::gateway::NextStep;
+use wisteriawick_core::gateway::Punctuality;
 use wisteriawick_core::gateway::Repeat;
 use wisteriawick_core::gateway::RequestPlan;
 use wisteriawick_core::gateway::RunnerStatus;
+use wisteriawick_core::ids::RunnerId;
 
 use crate::eventlog::Weight;
 use crate::gateway::answer::Body;
@@ -43,6 +46,7 @@
     /// `None` after the end.
     source: Option<Source>,
     events: u64,
+    times: Punctuality,
 }
 
 /// Returns the answer that passes a stream on.
@@ -54,6 +58,8 @@
     let fields = json!({"runner": stream.source.slot.runner.id.as_str()});
     exchange.log(Weight::Routine, "stream_began", fields);
     exchange.count_time();
+    let route = &exchange.permit.route;
+    let times = Punctuality::new(exchange.arrived, route.objective, route.pause);
     let relay = Relay {
         exchange,
         tried: Try {
@@ -63,6 +69,7 @@
         },
         source: Some(stream.source),
         events: 0,
+        times,
     };
     let events = stream::unfold(relay, |mut relay| async move {
         let event = relay.next().await?;
@@ -97,7 +104,7 @@
             let source = self.source.as_mut()?;
             match next_of(&self.exchange, source).await {
                 Ok(Some(event)) => {
-                    self.events += 1;
+                    self.note_event();
                     return Some(Ok(event));
                 }
                 Ok(None) => {
@@ -119,6 +126,25 @@
         }
     }
 
+    fn note_event(&mut self) {
+        self.events += 1;
+        let cause = match self.times.event(self.exchange.hub.now()) {
+            None => return,
+            Some(Lateness::FirstEvent) => "first event",
+            Some(Lateness::Pause) => "pause",
+        };
+        counter!(telemetry::LATE, "cause" => cause).increment(1);
+        let runner = self.source.as_ref().map(|source| &source.slot.runner.id);
+        let fields = json!({
+            "cause": cause,
+            "at_event": self.events,
+            "first_ms": self.times.first().unwrap_or_default().as_millis() as u64,
+            "pause_ms": self.times.longest_pause().as_millis() as u64,
+            "runner": runner.map(RunnerId::as_str),
+        });
+        self.exchange.log(Weight::Failure, "stream_late", fields);
+    }
+
     fn finish(&mut self) {
         let Some(mut source) = self.source.take() else {
             return;
@@ -130,7 +156,12 @@
                 .keep(hub.now(), source.upstream, source.head.keeps_for);
         }
         lock(&hub.strikes).clear(self.exchange.fingerprint);
-        let fields = json!({"events": self.events, "runner": source.slot.runner.id.as_str()});
+        let fields = json!({
+            "events": self.events,
+            "first_ms": self.times.first().unwrap_or_default().as_millis() as u64,
+            "pause_ms": self.times.longest_pause().as_millis() as u64,
+            "runner": source.slot.runner.id.as_str(),
+        });
         self.exchange.log(Weight::Routine, "stream_ended", fields);
         self.exchange.count("answered");
     }
--- a/src/rank/lead.rs
+++ b/src/rank/lead.rs
@@ -18,6 +18,7 @@
 use wisteriawick_core::maps::HeldInput;
 use wisteriawick_core::maps::HeldOutput;
 use wisteriawick_core::maps::MapNumber;
+use wisteriawick_core::maps::PlanEffort;
 use wisteriawick_core::maps::RankOrder;
 use wisteriawick_core::maps::plan_copies;
 use wisteriawick_core::time::SharedClock;
@@ -57,10 +58,6 @@
 /// Copies that one rank takes for a plan at most: with 0.15 s each, a plan is
 /// in use within half a second.
 const COPIES_PER_RANK: usize = 3;
-/// Least share of the mean load that a copy must save to be made.
-const MIN_SAVING: f64 = 0.004;
-/// Least gain of a plan, as a part of the skew.
-const MIN_GAIN: f64 = 0.03;
 /// Least choices of experts in the window for a plan, for each expert of each
 /// set; fewer are noise.
 const MIN_CHOICES: f64 = 30.0;
@@ -78,6 +75,8 @@
     member: MemberHandle,
     store: Store,
     layout: Option<ExpertLayout>,
+    /// Longest pause between events that streams of the group's service allow.
+    pause: Option<Duration>,
     /// The group's load, for entries.
     load: watch::Sender<Option<GroupLoadWire>>,
 }
@@ -97,6 +96,7 @@
             log,
             member,
             layout: None,
+            pause: None,
             load,
         }
     }
@@ -370,17 +370,19 @@
         if choices < MIN_CHOICES * (layout.sets * layout.experts) as f64 {
             return;
         }
+        let pass = Duration::from_micros(reign.passes.mean_us().into());
+        let effort = PlanEffort::new(pass, self.pause);
         let bounds = CopyBounds {
             experts: layout.experts,
             places: layout.places,
             new_per_set: layout.spare,
             new_per_rank: COPIES_PER_RANK,
-            min_saving: MIN_SAVING,
+            min_saving: effort.each_copy(reign.size),
         };
         let Some(plan) = plan_copies(&current, &loads, &bounds) else {
             return;
         };
-        if plan.skew.0 - plan.skew.1 < MIN_GAIN {
+        if plan.skew.0 - plan.skew.1 < effort.gain {
             return;
         }
         gauge!(telemetry::SKEW).set(plan.skew.0);
@@ -442,11 +444,13 @@
             let listing = self.store.declaration(STORE_TIMEOUT).await?;
             let declaration = listing.items.into_iter().next();
             let service = self.settings.service.as_ref();
-            self.layout = declaration
-                .as_ref()
-                .zip(service)
-                .and_then(|(declaration, service)| declaration.service(service))
-                .and_then(|target| target.engine.as_ref()?.experts);
+            if let Some((declaration, service)) = declaration.as_ref().zip(service) {
+                let engine = declaration
+                    .service(service)
+                    .and_then(|target| target.engine.as_ref());
+                self.layout = engine.and_then(|engine| engine.experts);
+                self.pause = declaration.shortest_pause(service);
+            }
         }
         if reign.links.len() + 1 < reign.size {
             let listing = self
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -42,6 +42,8 @@
 pub const FAILED_ATTEMPTS: &str = "wisteriawick_failed_attempts_total";
 /// Streams that went on at another runner.
 pub const RESUMED: &str = "wisteriawick_resumed_streams_total";
+/// Streams that became late, by cause: first event or pause.
+pub const LATE: &str = "wisteriawick_late_streams_total";
 /// Seconds from a request's head to its answer, or to the first event of a
 /// stream.
 pub const ANSWER_SECONDS: &str = "wisteriawick_answer_seconds";
