Entries with the same reports spread their requests

Cause: an entry took the least loaded runner, and so did all others, until the next report: with six entries a rank got six requests within 200 ms while the mean rank was at six of ten. Of 1,876 late streams 611 were late by their first event, none of which had waited at an entry. Runners that differ by less than three requests now count as equally loaded.

Ruled out: agents that look every 50 ms (no difference beyond noise, twice the calls).

--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -16,6 +16,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
 use crate::gateway::LoadReport;
 use crate::gateway::pool::health::Health;
 use crate::gateway::pool::runner::Runner;
@@ -52,6 +56,12 @@
 /// Load that it is worth when all requests at a runner failed of late: a third
 /// of failures outweighs a runner that is full.
 const FAILURE_PENALTY: f64 = 3.0;
+/// Requests by which runners may differ and count as equally loaded. Entries
+/// hear the same reports at the same time, and what they send within the life
+/// of one report goes to the same few runners if each takes the least loaded.
+const SPREAD: f64 = 3.0;
+/// The same where no report tells of other entries.
+const TIE: f64 = 0.01;
 /// Part of the runners that may be left out for their errors. Where more err,
 /// the requests are at fault or there is no better runner.
 const MAX_ERRING: f64 = 0.5;
@@ -80,13 +90,13 @@
     /// Requests that end in a second, smoothed.
     rate: f64,
     rate_at: Instant,
-    /// Turns ties over all runners.
-    turn: u64,
+    rng: SmallRng,
 }
 
 impl Pool {
-    /// Returns a pool without runners.
-    pub fn new(now: Instant, place: PlaceId, limits: PoolLimits) -> Self {
+    /// Returns a pool without runners. Entries need different seeds, so that
+    /// they do not choose alike.
+    pub fn new(now: Instant, place: PlaceId, limits: PoolLimits, seed: u64) -> Self {
         Self {
             place,
             limits,
@@ -95,7 +105,7 @@
             closed: BTreeMap::new(),
             rate: 0.0,
             rate_at: now,
-            turn: 0,
+            rng: SmallRng::seed_from_u64(seed),
         }
     }
 
@@ -295,25 +305,29 @@
     }
 
     fn choose(&mut self, now: Instant, work: &Work) -> Option<Candidate> {
-        self.turn = self.turn.wrapping_add(1);
-        let count = self.runners.len().max(1) as u64;
         let shuns_erring = self.shuns_erring(now);
-        let start = (self.turn % count) as usize;
+        let mut rng = self.rng.clone();
         let best = self
             .runners
             .values()
-            .enumerate()
-            .filter(|(_, runner)| runner.takes_work(now))
-            .filter(|(_, runner)| !shuns_erring || !runner.health.is_erring(now))
-            .filter(|(_, runner)| self.group_takes_work(now, runner))
-            .filter(|(_, runner)| runner.has_room(now, &self.limits))
-            .filter(|(_, runner)| !work.excluded.contains(&runner.listed.id))
-            .map(|(at, runner)| {
-                let order = (at + count as usize - start) % count as usize;
-                (self.cost(now, runner), order, &runner.listed.id)
+            .filter(|runner| runner.takes_work(now))
+            .filter(|runner| !shuns_erring || !runner.health.is_erring(now))
+            .filter(|runner| self.group_takes_work(now, runner))
+            .filter(|runner| runner.has_room(now, &self.limits))
+            .filter(|runner| !work.excluded.contains(&runner.listed.id))
+            .map(|runner| {
+                let spread = match runner.fresh_report(now) {
+                    Some(_) => SPREAD * rng.random::<f64>(),
+                    // What is known is known exactly; only ties are drawn.
+                    None => TIE * rng.random::<f64>(),
+                };
+                let slots = f64::from(runner.listed.slots.max(1));
+                (self.cost(now, runner) + spread / slots, &runner.listed.id)
             })
-            .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
-            .map(|(_, _, id)| id.clone())?;
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, id)| id.clone());
+        self.rng = rng;
+        let best = best?;
         let runner = self.runners.get_mut(&best)?;
         runner.began(now);
         if let Some(closed) = self.closed.get_mut(&runner.group().cloned()) {
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -125,6 +125,10 @@
         self.clock.now()
     }
 
+    fn seed(&self) -> u64 {
+        lock(&self.rng).random()
+    }
+
     /// Returns a number from zero to below one.
     pub(crate) fn draw(&self) -> f64 {
         lock(&self.rng).random::<f64>()
@@ -166,7 +170,7 @@
     fn new_service(&self, now: Instant, limits: PoolLimits) -> ServiceState {
         let bounds = &self.settings.bounds;
         ServiceState {
-            pool: Pool::new(now, self.settings.place.clone(), limits),
+            pool: Pool::new(now, self.settings.place.clone(), limits, self.seed()),
             budget: RepeatBudget::new(
                 bounds.repeat_ratio,
                 bounds.repeat_extra,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,7 +18,6 @@
 use wisteriawick_core::gateway::Repeat;
 use wisteriawick_core::gateway::RequestPlan;
 use wisteriawick_core::gateway::RunnerStatus;
-use wisteriawick_core::ids::RunnerId;
 
 use crate::eventlog::Weight;
 use crate::gateway::answer::Body;
@@ -134,13 +133,15 @@
             Some(Lateness::Pause) => "pause",
         };
         counter!(telemetry::LATE, "cause" => cause).increment(1);
-        let runner = self.source.as_ref().map(|source| &source.slot.runner.id);
+        let slot = self.source.as_ref().map(|source| &source.slot);
+        let waited = slot.map(|slot| slot.since - self.exchange.arrived);
         let fields = json!({
             "cause": cause,
             "at_event": self.events,
             "first_ms": self.times.first().unwrap_or_default().as_millis() as u64,
             "pause_ms": self.times.longest_pause().as_millis() as u64,
-            "runner": runner.map(RunnerId::as_str),
+            "placed_ms": waited.unwrap_or_default().as_millis() as u64,
+            "runner": slot.map(|slot| slot.runner.id.as_str()),
         });
         self.exchange.log(Weight::Failure, "stream_late", fields);
     }
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -1,6 +1,7 @@
 //! A request's place at a runner, given back when it is dropped.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use wisteriawick_core::gateway::RunnerStatus;
 use wisteriawick_core::hosting::ListedRunner;
@@ -15,11 +16,14 @@
     service: ServiceId,
     pub(crate) runner: ListedRunner,
     status: RunnerStatus,
+    /// When the place was taken.
+    pub(crate) since: Instant,
 }
 
 impl Slot {
     pub(crate) fn new(hub: Arc<Hub>, service: ServiceId, runner: ListedRunner) -> Self {
         Self {
+            since: hub.now(),
             hub,
             service,
             runner,
