A soak of real entry processes under faults from outside

The built program runs as three processes beside stand-ins of the store and four runners, all behind loopback proxies. A seed draws kills, freezes, stops, hang-ups, outages of the store, lost history, misbehaving, cut, silent and slow runners, runners that leave and new configurations; even seeds play them one after the other, odd ones let them overlap. Checked while it runs: whole answers of the right request, answers in time, a refusal that tells when to come back; after it: at most one run where asked for, refused requests that did not run, recovery within ten seconds with the newest configuration in force everywhere.

Agents and groups are not part of it yet.

--- a/crates/bench/src/client.rs
+++ b/crates/bench/src/client.rs
@@ -18,9 +18,9 @@
 use wisteriawick::command::dev::DevSizes;
 
 /// Runs a future to its end.
-pub(crate) fn block_on(future: impl Future<Output = ()>) {
+pub(crate) fn block_on<T>(future: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
-    runtime.block_on(future);
+    runtime.block_on(future)
 }
 
 /// A fleet that ends with this value.
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -14,6 +14,7 @@
 mod path;
 mod relay;
 mod report;
+mod soak;
 mod tickets;
 
 use std::process::ExitCode;
@@ -34,7 +35,10 @@
     /// Cases of the longer fault run, for each scenario
     #[bpaf(argument("K"), fallback(5_000))]
     cases: usize,
-    /// path, relay, choice, fairness, idle, ledger, faults, maps, tickets or capacity
+    /// Runs of the soak, with one seed after the other
+    #[bpaf(argument("R"), fallback(1))]
+    runs: u64,
+    /// path, relay, choice, fairness, idle, ledger, faults, maps, tickets, capacity or soak
     #[bpaf(positional("NAME"))]
     name: String,
 }
@@ -54,6 +58,12 @@
         "idle" => client::block_on(idle::run(&mut report)),
         "tickets" => client::block_on(tickets::run(&mut report)),
         "capacity" => client::block_on(capacity::run(&mut report)),
+        "soak" => {
+            if !client::block_on(soak::run(seed, options.runs, &mut report)) {
+                report.print(options.json);
+                return ExitCode::FAILURE;
+            }
+        }
         other => {
             eprintln!("there is no experiment {other:?}; see --help");
             return ExitCode::from(2);
--- /dev/null
+++ b/crates/bench/src/soak.rs
@@ -0,0 +1,59 @@
+//! Soaks of the built program, one seed after the other.
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use wisteriawick_soak::Soak;
+use wisteriawick_soak::Verdict;
+
+use crate::report::Report;
+use crate::report::Target;
+
+/// Runs `runs` seeds from `seed` on; returns whether every promise was kept.
+pub(crate) async fn run(seed: u64, runs: u64, report: &mut Report) -> bool {
+    let Some(binary) = program() else {
+        eprintln!("there is no program beside this one; run `cargo build --release` first");
+        return false;
+    };
+    let mut kept = true;
+    for seed in seed..seed + runs {
+        let dir =
+            std::env::temp_dir().join(format!("wisteriawick-soak-{}-{seed}", std::process::id()));
+        match Soak::small(seed).run(&binary, &dir).await {
+            Ok(verdict) => {
+                kept &= verdict.is_kept();
+                tell(seed, &verdict, &dir, report);
+            }
+            Err(e) => {
+                eprintln!("seed {seed} could not run: {e}");
+                kept = false;
+            }
+        }
+    }
+    kept
+}
+
+fn tell(seed: u64, verdict: &Verdict, dir: &Path, report: &mut Report) {
+    let name = format!("seed {seed}");
+    for (outcome, count) in verdict.outcomes() {
+        report.add(format!("{name}, {outcome}"), count as f64, "", Target::None);
+    }
+    if verdict.is_kept() {
+        // The logs of a run without findings are of no use.
+        let _ = std::fs::remove_dir_all(dir);
+        return;
+    }
+    eprintln!("seed {seed}: logs are in {}", dir.display());
+    for line in verdict.faults() {
+        eprintln!("  fault   {line}");
+    }
+    for line in verdict.broken_promises() {
+        eprintln!("  BROKEN  {line}");
+    }
+}
+
+/// Returns the built program, which stands beside this one.
+fn program() -> Option<PathBuf> {
+    let path = std::env::current_exe().ok()?.with_file_name("wisteriawick");
+    path.exists().then_some(path)
+}
--- /dev/null
+++ b/crates/soak/src/entries.rs
@@ -0,0 +1,165 @@
+//! Entry processes, and what callers may expect of each.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use wisteriawick_platform::SETTINGS_VARIABLE;
+use wisteriawick_platform_standin::settings_text;
+
+/// Time between two looks at whether a process has ended.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// An entry process.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) name: String,
+    pub(crate) callers: SocketAddr,
+    pub(crate) readiness: SocketAddr,
+    binary: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    child: Option<Child>,
+    /// Whether callers are sent there.
+    is_open: bool,
+    /// Times at which it could not be expected to answer.
+    disturbed: Vec<(Instant, Option<Instant>)>,
+}
+
+impl Entry {
+    /// Writes the settings of an entry; it is not started yet.
+    pub(crate) fn new(
+        name: &str,
+        binary: &Path,
+        dir: &Path,
+        store: SocketAddr,
+    ) -> std::io::Result<Self> {
+        let callers = free_address()?;
+        let readiness = free_address()?;
+        let settings = dir.join(format!("{name}.toml"));
+        std::fs::write(&settings, settings_text(name, callers, readiness, store))?;
+        Ok(Self {
+            name: name.into(),
+            callers,
+            readiness,
+            binary: binary.into(),
+            settings,
+            log: dir.join(format!("{name}.log")),
+            state: Mutex::default(),
+        })
+    }
+
+    /// Starts the process; its lines are added to its log.
+    pub(crate) fn start(&self) -> std::io::Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let errors = log.try_clone()?;
+        let child = Command::new(&self.binary)
+            .arg("entry")
+            .env(SETTINGS_VARIABLE, &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn()?;
+        self.lock().child = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub(crate) fn signal(&self, signal: Signal) {
+        let state = self.lock();
+        let pid = state.child.as_ref().map(|child| child.id() as i32);
+        if let Some(pid) = pid.and_then(Pid::from_raw) {
+            // A process that has just ended needs no signal.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Waits for the end of the process; returns whether it came in time.
+    pub(crate) async fn wait_end(&self, within: Duration) -> bool {
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            if self.has_ended() {
+                return true;
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+        false
+    }
+
+    /// Kills the process and waits for its end.
+    pub(crate) fn kill(&self) {
+        let child = self.lock().child.take();
+        if let Some(mut child) = child {
+            // It may have ended by itself, which the callers' side shows.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    pub(crate) fn set_open(&self, is_open: bool) {
+        self.lock().is_open = is_open;
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        self.lock().is_open
+    }
+
+    /// From now on nothing can be expected of the process.
+    pub(crate) fn begin_disturbance(&self) {
+        self.lock().disturbed.push((Instant::now(), None));
+    }
+
+    /// The process can be expected to answer again.
+    pub(crate) fn end_disturbance(&self) {
+        for (_, end) in &mut self.lock().disturbed {
+            end.get_or_insert_with(Instant::now);
+        }
+    }
+
+    /// Returns whether the process was disturbed at any time between two.
+    pub(crate) fn was_disturbed(&self, from: Instant, to: Instant) -> bool {
+        let state = self.lock();
+        let overlaps = |(start, end): &(Instant, Option<Instant>)| {
+            *start <= to && end.is_none_or(|end| end >= from)
+        };
+        state.disturbed.iter().any(overlaps)
+    }
+
+    fn has_ended(&self) -> bool {
+        let mut state = self.lock();
+        match &mut state.child {
+            None => true,
+            Some(child) => matches!(child.try_wait(), Ok(Some(_))),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn free_address() -> std::io::Result<SocketAddr> {
+    std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
