One copy a rank and plan; slow ranks get work last

A plan of three copies on a rank takes half a second to copy, though the first saves most.

A rank that is slow gets work only when the others have no room: all ranks wait for it in each pass.

Ruled out: three free slots instead of one (no difference), room from passes of 0.58 of the longest pause on (no difference).

--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -56,6 +56,10 @@
 /// Load that it is worth when all requests at a runner failed of late: a third
 /// of failures outweighs a runner that is full.
 const FAILURE_PENALTY: f64 = 3.0;
+/// Load that a runner of twice the usual pace is worth. All ranks wait for the
+/// slowest one, so that a request at a slow rank delays the whole group by as
+/// many times its own work; elsewhere it costs the group nothing more.
+const SLOW_PENALTY: f64 = 1.0;
 /// Requests by which runners may differ and count as equally loaded. Entries
 /// hear the same reports at the same time, and what they send within the life
 /// of one report goes to the same few runners if each takes the least loaded.
@@ -353,7 +357,11 @@
             false => COLD_PENALTY,
         };
         let failures = FAILURE_PENALTY * runner.health.failure_share(now);
-        held + far + cold + failures
+        let pace = runner
+            .fresh_report(now)
+            .map_or(1.0, |report| report.load.pace);
+        let slow = SLOW_PENALTY * (pace - 1.0).max(0.0);
+        held + far + cold + failures + slow
     }
 
     /// Returns whether runners that answer with errors are left out.
--- a/crates/core/tests/gateway_pool.rs
+++ b/crates/core/tests/gateway_pool.rs
@@ -480,3 +480,23 @@
     let most = sent.iter().max();
     assert!(most <= Some(&5), "{sent:?}");
 }
+
+/// One rank of a group is slow and all others wait for it in each pass: what
+/// runs there delays everybody.
+#[test]
+fn a_slow_rank_gets_work_only_when_the_others_have_no_room() {
+    let now = Instant::now();
+    let mut pool = pool(now, 3);
+    for at in 0..3 {
+        let mut load = report(0, true);
+        load.pace = if at == 1 { 3.0 } else { 1.0 };
+        pool.report(now, address(at), &load);
+    }
+    let sent: Vec<RunnerId> = (0..36)
+        .filter_map(|ticket| chosen(pool.admit(now, work(now, ticket))))
+        .collect();
+    let slow = RunnerId::from("r1");
+    assert_eq!(sent.len(), 36);
+    assert!(!sent[..24].contains(&slow), "{sent:?}");
+    assert!(sent[24..].iter().all(|id| *id == slow), "{sent:?}");
+}
--- a/src/rank/lead.rs
+++ b/src/rank/lead.rs
@@ -55,9 +55,10 @@
 const REFRESH_EVERY: Duration = Duration::from_secs(4);
 /// Longest wait for the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Copies that one rank takes for a plan at most: with 0.15 s each, a plan is
-/// in use within half a second.
-const COPIES_PER_RANK: usize = 3;
+/// Copies that one rank takes for a plan at most, of about 0.15 s each: the
+/// first copies after a shift save most, and the next plan makes the others.
+/// With three, plans came half a second later.
+const COPIES_PER_RANK: usize = 1;
 /// Least choices of experts in the window for a plan, for each expert of each
 /// set; fewer are noise.
 const MIN_CHOICES: f64 = 30.0;
