Counts with each pass; bounds that nothing uses are gone

Counts are read every 100 ms over 400 ms instead of every 200 over 600, since passes are too long from a shift of popularity until a plan follows.

--- a/crates/core/src/hosting.rs
+++ b/crates/core/src/hosting.rs
@@ -49,12 +49,6 @@
     pub repeat_window: Duration,
     /// Time between a request to stop and the end of the process.
     pub grace: Duration,
-    /// Time in which an accepted declaration is in force.
-    pub apply_within: Duration,
-    /// Time after which a leaving runner gets no work.
-    pub drain_within: Duration,
-    /// How long work on a dead rank hangs before its engine fails it.
-    pub stall: Duration,
 }
 
 /// State of a runner as its platform lists it.
--- a/src/rank/counts.rs
+++ b/src/rank/counts.rs
@@ -7,9 +7,9 @@
 use wisteriawick_core::maps::ExpertLoads;
 use wisteriawick_platform::Counts;
 
-/// Span of the counts that a plan goes by: long enough for a few passes of
-/// every rank, short against the seconds between shifts.
-const WINDOW: Duration = Duration::from_millis(600);
+/// Span of the counts that a plan goes by: a few passes of every rank. With
+/// 600 ms, what was chosen before a shift hid it for longer.
+const WINDOW: Duration = Duration::from_millis(400);
 
 /// Turns counts since the start into counts since the last reading.
 #[derive(Debug, Default)]
--- a/src/rank/member.rs
+++ b/src/rank/member.rs
@@ -32,9 +32,9 @@
 const POLL_BUSY: Duration = Duration::from_millis(15);
 /// How long after an order a change counts as under way.
 const BUSY_AFTER_ORDER: Duration = Duration::from_millis(200);
-/// Time between two readings of the counts. A shift of popularity must show
-/// within a fraction of a second.
-const COUNT_EVERY: Duration = Duration::from_millis(200);
+/// Time between two readings of the counts: about a pass. Until a shift of
+/// popularity shows, passes are too long for all streams.
+const COUNT_EVERY: Duration = Duration::from_millis(100);
 /// Orders and readings that wait for a slow receiver.
 const QUEUE: usize = 16;
 
