--- /dev/null
+++ b/crates/core/tests/gateway_pool/support.rs
@@ -0,0 +1,78 @@
+//! A pool with runners, and work for it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use wisteriawick_core::gateway::Admission;
+use wisteriawick_core::gateway::GroupReport;
+use wisteriawick_core::gateway::LoadReport;
+use wisteriawick_core::gateway::Pool;
+use wisteriawick_core::gateway::PoolLimits;
+use wisteriawick_core::gateway::TicketId;
+use wisteriawick_core::gateway::Work;
+use wisteriawick_core::hosting::ListedRunner;
+use wisteriawick_core::hosting::ListedState;
+use wisteriawick_core::ids::RunnerId;
+
+pub(crate) const LIMITS: PoolLimits = PoolLimits {
+    per_runner: 12,
+    unreported: 3,
+    in_groups: true,
+    longest_pass: Some(Duration::from_millis(96)),
+    waiting: 8,
+    wait_share: 0.5,
+};
+
+pub(crate) fn address(n: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, n], 80))
+}
+
+pub(crate) fn runner(n: u8) -> ListedRunner {
+    ListedRunner {
+        id: format!("r{n}").as_str().into(),
+        service: "s".into(),
+        address: address(n),
+        place: "here".into(),
+        slots: 12,
+        state: ListedState::Ready,
+        cold: Duration::ZERO,
+        born_ms: Some(1),
+    }
+}
+
+pub(crate) fn work(now: Instant, ticket: u64) -> Work {
+    Work {
+        ticket: TicketId(ticket),
+        priority: 1,
+        on_time: now + Duration::from_millis(400),
+        deadline: now + Duration::from_secs(2),
+        excluded: Vec::new(),
+    }
+}
+
+pub(crate) fn pool(now: Instant, runners: u8) -> Pool {
+    let mut pool = Pool::new(now, "here".into(), LIMITS, 1);
+    pool.set_runners(now, (0..runners).map(runner).collect());
+    pool
+}
+
+pub(crate) fn report(running: u32, is_open: bool) -> LoadReport {
+    LoadReport {
+        running,
+        waiting: 0,
+        pace: 1.0,
+        group: Some(GroupReport {
+            name: "g".into(),
+            is_open,
+            pass: Duration::from_millis(40),
+        }),
+    }
+}
+
+pub(crate) fn chosen(admission: Admission) -> Option<RunnerId> {
+    match admission {
+        Admission::Run(candidate) => Some(candidate.runner.id),
+        _ => None,
+    }
+}
