Stand-ins share their accept loop and their caller

The runner's stand-in, the soak's proxy and the stand-ins' HTTP server each had the same accept loop; the soak and the platform's tests each had the same way to send a request and the same answer type. Two arms of the fault matrix that lose ledger messages, and two places that set the same guard, are one each. What is checked is as it was.

--- a/crates/faults/src/path/ledgers.rs
+++ b/crates/faults/src/path/ledgers.rs
@@ -163,13 +163,7 @@
                     input: pending.input,
                 };
                 self.queue.after(HOP, ask);
-                let guard = Event::LedgerGuard {
-                    entry,
-                    life,
-                    ticket,
-                    owner,
-                };
-                self.queue.after(NOTICE, guard);
+                self.guard_later(entry, life, ticket, owner);
             }
             _ => {
                 let asker = Asker {
@@ -182,6 +176,16 @@
         }
     }
 
+    fn guard_later(&mut self, entry: usize, life: Incarnation, ticket: u64, owner: usize) {
+        let guard = Event::LedgerGuard {
+            entry,
+            life,
+            ticket,
+            owner,
+        };
+        self.queue.after(NOTICE, guard);
+    }
+
     /// Gives up on an owner whose link is gone.
     pub(crate) fn guard(&mut self, entry: usize, life: Incarnation, ticket: u64, owner: usize) {
         let node = &self.entries[entry];
@@ -189,13 +193,7 @@
             return;
         }
         if self.entries[owner].up && !self.paused(owner) {
-            let guard = Event::LedgerGuard {
-                entry,
-                life,
-                ticket,
-                owner,
-            };
-            self.queue.after(NOTICE, guard);
+            self.guard_later(entry, life, ticket, owner);
         } else {
             self.ledger_answered(entry, life, ticket, LedgerReply::NotOwner);
         }
--- a/crates/faults/src/path/strike.rs
+++ b/crates/faults/src/path/strike.rs
@@ -89,21 +89,19 @@
                 from, entry, link, ..
             } => self.break_link(*entry, *from, *link),
             Event::LedgerAsk {
-                from, life, ticket, ..
-            } => {
-                let lost = Event::LedgerAnswer {
-                    to: *from,
-                    life: *life,
-                    ticket: *ticket,
-                    reply: LedgerReply::NotOwner,
-                };
-                self.queue.after(NOTICE, lost);
+                from: asker,
+                life,
+                ticket,
+                ..
             }
-            Event::LedgerAnswer {
-                to, life, ticket, ..
+            | Event::LedgerAnswer {
+                to: asker,
+                life,
+                ticket,
+                ..
             } => {
                 let lost = Event::LedgerAnswer {
-                    to: *to,
+                    to: *asker,
                     life: *life,
                     ticket: *ticket,
                     reply: LedgerReply::NotOwner,
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -5,22 +5,19 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
 use http::header::RETRY_AFTER;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_platform::READINESS_PATH;
+use wisteriawick_platform_standin::Got;
 use wisteriawick_platform_standin::caller_request;
-use wisteriawick_platform_standin::is_signed;
+use wisteriawick_platform_standin::send;
 
 use crate::entries::Entry;
 use crate::world::Front;
@@ -30,7 +27,7 @@
 pub(crate) const PATIENCE: Duration = Duration::from_secs(2);
 /// Time beyond it that an answer may take, for a machine that is busy.
 const SLACK: Duration = Duration::from_millis(700);
-/// Time after which a caller gives up on an entry that holds it.
+/// Longest wait of a caller for any answer at all.
 const HELD: Duration = Duration::from_secs(8);
 /// Longest wait for a look at readiness.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(500);
@@ -69,15 +66,6 @@
     }
 }
 
-/// An answer.
-#[derive(Debug)]
-pub(crate) struct Got {
-    pub(crate) status: StatusCode,
-    headers: HeaderMap,
-    /// `None` when it broke off.
-    body: Option<Bytes>,
-}
-
 /// Callers that run.
 pub(crate) struct Callers {
     tasks: JoinSet<()>,
@@ -178,7 +166,7 @@
     if took > PATIENCE + SLACK {
         return Err(format!("{} came too late", got.status));
     }
-    if is_signed(&got.headers) {
+    if got.seal().is_some() {
         return Ok("failed by runner");
     }
     let comes_back = got.headers.contains_key(RETRY_AFTER);
@@ -220,7 +208,9 @@
     let stream = TcpStream::connect(entry.callers)
         .await
         .map_err(|e| format!("not connected: {e}"))?;
-    send(stream, caller_request(kind.method(), path, id, PATIENCE)).await
+    send(stream, caller_request(kind.method(), path, id, PATIENCE))
+        .await
+        .map_err(|e| format!("the connection ended without an answer: {e}"))
 }
 
 /// Returns whether an entry says that callers should come.
@@ -234,23 +224,3 @@
     let looked = tokio::time::timeout(LOOK_TIMEOUT, look).await;
     matches!(looked, Ok(Some(true)))
 }
-
-async fn send(stream: TcpStream, req: Request<Full<Bytes>>) -> Result<Got, String> {
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(|e| format!("no connection: {e}"))?;
-    let task = tokio::spawn(connection);
-    let res = sender
-        .send_request(req)
-        .await
-        .map_err(|e| format!("the connection ended without an answer: {e}"))?;
-    let (parts, body) = res.into_parts();
-    // A body that breaks off is told by its absence.
-    let body = body.collect().await.ok().map(|body| body.to_bytes());
-    task.abort();
-    Ok(Got {
-        status: parts.status,
-        headers: parts.headers,
-        body,
-    })
-}
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -11,6 +11,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
+use wisteriawick_standins::http_server::accept_each;
 
 /// Bytes that are passed on at a time.
 const CHUNK: usize = 4096;
@@ -40,7 +41,10 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let mode = watch::Sender::new(Mode::Open);
-        tokio::spawn(accept(listener, to, mode.subscribe(), end));
+        let passed = mode.subscribe();
+        tokio::spawn(async move {
+            accept_each(listener, end, |stream| pass(stream, to, passed.clone())).await;
+        });
         Ok(Self { address, mode })
     }
 
@@ -53,33 +57,10 @@
     }
 }
 
-async fn accept(
-    listener: TcpListener,
-    to: SocketAddr,
-    mode: watch::Receiver<Mode>,
-    end: CancellationToken,
-) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = end.cancelled() => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            continue; // Whoever dialled dials again.
-        };
-        if *mode.borrow() == Mode::Cut {
-            continue;
-        }
-        tokio::spawn(pass(stream, to, mode.clone(), end.clone()));
+async fn pass(near: TcpStream, to: SocketAddr, mut mode: watch::Receiver<Mode>) {
+    if *mode.borrow() == Mode::Cut {
+        return;
     }
-}
-
-async fn pass(
-    near: TcpStream,
-    to: SocketAddr,
-    mut mode: watch::Receiver<Mode>,
-    end: CancellationToken,
-) {
     let Ok(far) = TcpStream::connect(to).await else {
         return; // Closing the near end tells it.
     };
@@ -92,7 +73,6 @@
         _ = both => {}
         // The sender lives as long as the world.
         _ = mode.wait_for(|mode| *mode == Mode::Cut) => {}
-        () = end.cancelled() => {}
     }
 }
 
--- a/crates/standins/src/http_server.rs
+++ b/crates/standins/src/http_server.rs
@@ -17,6 +17,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
 /// The body of a stand-in's answer.
@@ -62,27 +63,45 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let handle = Arc::new(handle);
+    accept_each(listener, cx, |stream| {
+        // Latency matters more than packet count on loopback.
+        let _ = stream.set_nodelay(true);
+        let handle = Arc::clone(&handle);
+        async move {
+            let service = service_fn(move |req| {
+                let answer = handle(req);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            // Whoever asked sees the failure.
+            let _ = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        }
+    })
+    .await;
+}
+
+/// Runs a task for each connection; all end with the token.
+pub async fn accept_each<F>(
+    listener: TcpListener,
+    cx: CancellationToken,
+    task: impl Fn(TcpStream) -> F,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = cx.cancelled() => return,
         };
         let Ok((stream, _)) = accepted else {
-            continue;
+            continue; // Whoever dialled dials again.
         };
-        // Latency matters more than packet count on loopback.
-        let _ = stream.set_nodelay(true);
-        let handle = Arc::clone(&handle);
+        let work = task(stream);
         let cx = cx.clone();
         tokio::spawn(async move {
-            let service = service_fn(move |req| {
-                let answer = handle(req);
-                async move { Ok::<_, Infallible>(answer.await) }
-            });
-            let connection = hyper::server::conn::http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service);
             tokio::select! {
-                _ = connection => {}
+                () = work => {}
                 () = cx.cancelled() => {}
             }
         });
