One accept loop beside the callers', a change under hold as one value

Readiness, metrics and the agents' links repeated the accept loop, the first two also the HTTP connection; both are in accept.rs now. The only difference: a failed accept on metrics and links pauses 20 ms, as it did on readiness, and no longer spins. HeldSwitch passed number, pass and start of a hold one by one through its phases; they are one HeldChange. RepeatBudget kept a part that follows from two other fields. A resolved hold's orders went through a list of lists of pairs. Behaviour is otherwise as it was.

--- a/crates/core/src/gateway/repeats.rs
+++ b/crates/core/src/gateway/repeats.rs
@@ -18,9 +18,9 @@
 pub struct RepeatBudget {
     ratio: f64,
     /// Fixed number of all entries.
-    shared_extra: u32,
-    /// This entry's part of it.
-    extra: f64,
+    extra: u32,
+    /// Entries that share it.
+    entries: usize,
     window: Duration,
     requests: VecDeque<Instant>,
     repeats: VecDeque<Instant>,
@@ -32,8 +32,8 @@
     pub fn new(ratio: f64, extra: u32, entries: usize, window: Duration) -> Self {
         Self {
             ratio,
-            shared_extra: extra,
-            extra: f64::from(extra) / entries.max(1) as f64,
+            extra,
+            entries,
             window,
             requests: VecDeque::new(),
             repeats: VecDeque::new(),
@@ -42,7 +42,7 @@
 
     /// Changes the number of entries that share the fixed number.
     pub fn set_entries(&mut self, entries: usize) {
-        self.extra = f64::from(self.shared_extra) / entries.max(1) as f64;
+        self.entries = entries;
     }
 
     /// Records a caller's request.
@@ -54,7 +54,8 @@
     /// Takes one repeat; returns whether it is allowed.
     pub fn try_repeat(&mut self, now: Instant) -> bool {
         self.forget(now);
-        let allowed = (self.ratio * self.requests.len() as f64 + self.extra) * SAFETY;
+        let extra = f64::from(self.extra) / self.entries.max(1) as f64;
+        let allowed = (self.ratio * self.requests.len() as f64 + extra) * SAFETY;
         if self.repeats.len() as f64 + 1.0 > allowed {
             return false;
         }
--- a/crates/core/src/maps/held_switch.rs
+++ b/crates/core/src/maps/held_switch.rs
@@ -97,16 +97,8 @@
         number: MapNumber,
         pass: u64,
     },
-    Arming {
-        number: MapNumber,
-        pass: u64,
-        since: Instant,
-    },
-    Releasing {
-        number: MapNumber,
-        pass: u64,
-        since: Instant,
-    },
+    Arming(HeldChange),
+    Releasing(HeldChange),
     Settling {
         number: MapNumber,
         pass: u64,
@@ -114,6 +106,26 @@
     },
 }
 
+/// A change at a pass that is held.
+#[derive(Clone, Copy, Debug)]
+struct HeldChange {
+    number: MapNumber,
+    pass: u64,
+    /// Since when the hold is known.
+    since: Instant,
+}
+
+impl HeldChange {
+    /// Returns the phase that waits until all ranks show the change.
+    fn settling(self, now: Instant) -> Phase {
+        Phase::Settling {
+            number: self.number,
+            pass: self.pass,
+            held: now.saturating_duration_since(self.since),
+        }
+    }
+}
+
 /// The leader's part of changing maps, for one group.
 #[derive(Debug)]
 pub struct HeldSwitch {
@@ -210,8 +222,8 @@
             Phase::Idle => None,
             Phase::Preparing { number, .. }
             | Phase::Holding { number, .. }
-            | Phase::Arming { number, .. }
-            | Phase::Releasing { number, .. }
+            | Phase::Arming(HeldChange { number, .. })
+            | Phase::Releasing(HeldChange { number, .. })
             | Phase::Settling { number, .. } => Some(number),
         };
         self.phase = Phase::Idle;
@@ -245,16 +257,8 @@
             Phase::Idle => self.look_for_hold(now, out),
             Phase::Preparing { number, map, since } => self.prepare(now, number, &map, since, out),
             Phase::Holding { number, pass } => self.hold(now, number, pass, out),
-            Phase::Arming {
-                number,
-                pass,
-                since,
-            } => self.arm(now, number, pass, since, out),
-            Phase::Releasing {
-                number,
-                pass,
-                since,
-            } => self.release(now, number, pass, since, out),
+            Phase::Arming(change) => self.arm(now, change, out),
+            Phase::Releasing(change) => self.release(now, change, out),
             Phase::Settling { number, pass, held } => self.settle(number, pass, held, out),
         }
     }
@@ -277,11 +281,11 @@
             pass,
             number: Some(number),
         });
-        self.phase = Phase::Arming {
+        self.phase = Phase::Arming(HeldChange {
             number,
             pass,
             since: now,
-        };
+        });
         true
     }
 
@@ -357,11 +361,11 @@
         }
         if let Some(held) = view.held {
             // Any held pass will do, also one whose hold came late.
-            self.phase = Phase::Arming {
+            self.phase = Phase::Arming(HeldChange {
                 number,
                 pass: held,
                 since: now,
-            };
+            });
             return true;
         }
         if view.pass >= pass {
@@ -374,48 +378,30 @@
         false
     }
 
-    fn arm(
-        &mut self,
-        now: Instant,
-        number: MapNumber,
-        pass: u64,
-        since: Instant,
-        out: &mut Vec<HeldOutput>,
-    ) -> bool {
-        let order = RankOrder::Arm { number, pass };
+    fn arm(&mut self, now: Instant, change: HeldChange, out: &mut Vec<HeldOutput>) -> bool {
+        let HeldChange { number, pass, .. } = change;
         let Some(holder) = self.holder() else {
             return false;
         };
         if holder.map == number || holder.pass >= pass && holder.held.is_none() {
             // Somebody else carried the change through while this agent stood
             // still.
-            let held = now.saturating_duration_since(since);
-            self.phase = Phase::Settling { number, pass, held };
+            self.phase = change.settling(now);
             return true;
         }
-        self.give_missing(now, &order, out);
+        self.give_missing(now, &RankOrder::Arm { number, pass }, out);
         let Some(views) = self.all_views() else {
             return false;
         };
         if !views.iter().all(|view| view.armed == Some((number, pass))) {
             return false;
         }
-        self.phase = Phase::Releasing {
-            number,
-            pass,
-            since,
-        };
+        self.phase = Phase::Releasing(change);
         true
     }
 
-    fn release(
-        &mut self,
-        now: Instant,
-        number: MapNumber,
-        pass: u64,
-        since: Instant,
-        out: &mut Vec<HeldOutput>,
-    ) -> bool {
+    fn release(&mut self, now: Instant, change: HeldChange, out: &mut Vec<HeldOutput>) -> bool {
+        let pass = change.pass;
         let Some(view) = self.holder() else {
             return false;
         };
@@ -423,8 +409,7 @@
             self.give(now, HOLDER, RankOrder::Go { pass }, out);
             return false;
         }
-        let held = now.saturating_duration_since(since);
-        self.phase = Phase::Settling { number, pass, held };
+        self.phase = change.settling(now);
         true
     }
 
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -214,21 +214,18 @@
     /// Takes a leader's count of entries, among which the retry budgets are
     /// divided.
     pub(crate) fn take_entry_count(&self, count: u16) {
-        lock(&self.crowd).take(self.now(), count);
-        self.share_budgets();
+        let now = self.now();
+        lock(&self.crowd).take(now, count);
+        let entries = self.entries(now).into();
+        for state in lock(&self.services).values_mut() {
+            state.budget.set_entries(entries);
+        }
     }
 
     fn entries(&self, now: Instant) -> u16 {
         lock(&self.crowd).count(now)
     }
 
-    fn share_budgets(&self) {
-        let entries = self.entries(self.now()).into();
-        for state in lock(&self.services).values_mut() {
-            state.budget.set_entries(entries);
-        }
-    }
-
     pub(crate) fn set_has_roster(&self) {
         self.has_roster.store(true, Ordering::Relaxed);
     }
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::header::CONNECTION;
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -25,12 +25,12 @@
 use tokio_util::task::TaskTracker;
 use wisteriawick_platform::READINESS_PATH;
 
+use crate::accept;
+use crate::accept::ACCEPT_PAUSE;
 use crate::error::Error;
 use crate::error::Result;
 use crate::eventlog::Weight;
 use crate::gateway::answer::Body;
-use crate::gateway::answer::answer;
-use crate::gateway::answer::whole;
 use crate::gateway::exchange;
 use crate::gateway::hub::Hub;
 use crate::gateway::upstream::notice_silence;
@@ -49,8 +49,6 @@
 const IDLE_UNDECLARED: Duration = Duration::from_secs(30);
 /// Least buffer for a request's head that hyper takes, in bytes.
 const MIN_HEAD_BUFFER: usize = 8 * 1024;
-/// Pause after a failed accept, which is mostly a lack of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Binds an address.
 ///
@@ -157,36 +155,19 @@
 
 /// Tells the balancer whether callers should come.
 pub(crate) async fn serve_readiness(listener: TcpListener, hub: Arc<Hub>, end: CancellationToken) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = end.cancelled() => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    accept::each(listener, end, |stream| {
         let hub = Arc::clone(&hub);
-        let end = end.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |req: Request<Incoming>| {
-                let res = readiness(&hub, req.uri().path());
-                async move { Ok::<_, Infallible>(res) }
-            });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            tokio::select! {
-                _ = connection => {}
-                () = end.cancelled() => {}
-            }
-        });
-    }
+        accept::answer_http(stream, move |path| readiness(&hub, path))
+    })
+    .await;
 }
 
-fn readiness(hub: &Hub, path: &str) -> Response<Body> {
-    let status = match path {
+fn readiness(hub: &Hub, path: &str) -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::default());
+    *res.status_mut() = match path {
         READINESS_PATH if hub.is_ready() => StatusCode::OK,
         READINESS_PATH => StatusCode::SERVICE_UNAVAILABLE,
         _ => StatusCode::NOT_FOUND,
     };
-    answer(status, HeaderMap::new(), whole(Bytes::new()))
+    res
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! sockets and feed the cores of [`wisteriawick_core`]; it exists so that
 //! tests, benchmarks and the `dev` command run the code that serves.
 
+mod accept;
 pub mod agent;
 pub mod cli;
 pub mod command;
--- a/src/rank/link.rs
+++ b/src/rank/link.rs
@@ -23,6 +23,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 use tokio_util::sync::CancellationToken;
 
+use crate::accept;
 use crate::gateway::notice_silence;
 use crate::rank::member::MemberHandle;
 use crate::rank::member::OwnRank;
@@ -97,28 +98,17 @@
     group: GroupHandle,
     stop: CancellationToken,
 ) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop.cancelled() => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            continue; // Whoever dialled dials again.
-        };
+    accept::each(listener, stop, |stream| {
         let member = member.clone();
         let group = group.clone();
-        let stop = stop.clone();
-        tokio::spawn(async move {
-            let Ok(link) = Link::new(stream) else {
-                return;
-            };
-            tokio::select! {
+        async move {
+            if let Ok(link) = Link::new(stream) {
                 // Whoever dialled dials again after any failure.
-                _ = answer(link, member, group) => {}
-                () = stop.cancelled() => {}
+                let _ = answer(link, member, group).await;
             }
-        });
-    }
+        }
+    })
+    .await;
 }
 
 async fn answer(mut link: Link, member: MemberHandle, group: GroupHandle) -> std::io::Result<()> {
--- a/src/rank/resolve.rs
+++ b/src/rank/resolve.rs
@@ -167,35 +167,32 @@
     /// Carries out what the core wants, at all ranks at the same time: one
     /// after the other, 32 ranks took a quarter of a second.
     async fn carry_out(&self, out: Vec<HeldOutput>, apis: &mut [RunnerApi]) {
-        let mut orders: Vec<Vec<(u64, RankOrder)>> = vec![Vec::new(); apis.len()];
-        for output in out {
-            let HeldOutput::Order { rank, epoch, order } = output else {
+        for output in &out {
+            if !matches!(output, HeldOutput::Order { .. }) {
                 let fields = json!({"output": format!("{output:?}")});
                 self.log.line(Weight::Failure, "resolving_hold", fields);
-                continue;
-            };
-            if matches!(order, RankOrder::Arm { .. } | RankOrder::Go { .. }) {
-                orders[rank].push((epoch, order));
             }
         }
-        let ranks = apis.iter_mut().zip(orders).enumerate();
-        let given = ranks.map(|(rank, (api, orders))| self.give(rank, api, orders));
-        join_all(given).await;
+        let ranks = apis.iter_mut().enumerate();
+        join_all(ranks.map(|(rank, api)| self.give(rank, api, &out))).await;
     }
 
-    async fn give(&self, rank: usize, api: &mut RunnerApi, orders: Vec<(u64, RankOrder)>) {
-        for (epoch, order) in orders {
-            self.give_one(rank, api, epoch, order).await;
+    /// Gives a rank its arms and leaves, one after the other.
+    async fn give(&self, to: usize, api: &mut RunnerApi, out: &[HeldOutput]) {
+        for output in out {
+            let HeldOutput::Order { rank, epoch, order } = output else {
+                continue;
+            };
+            if *rank != to || !matches!(order, RankOrder::Arm { .. } | RankOrder::Go { .. }) {
+                continue;
+            }
+            let done = carry_out(api, *epoch, order, |_| {}).await;
+            let fields = json!({
+                "rank": rank,
+                "order": format!("{order:?}"),
+                "result": format!("{done:?}"),
+            });
+            self.log.line(Weight::Failure, "resolving_hold", fields);
         }
     }
-
-    async fn give_one(&self, rank: usize, api: &mut RunnerApi, epoch: u64, order: RankOrder) {
-        let done = carry_out(api, epoch, &order, |_| {}).await;
-        let fields = json!({
-            "rank": rank,
-            "order": format!("{order:?}"),
-            "result": format!("{done:?}"),
-        });
-        self.log.line(Weight::Failure, "resolving_hold", fields);
-    }
 }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,22 +1,17 @@
 //! Names of metrics, and their export as Prometheus text.
 
-use std::convert::Infallible;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
 use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
+use crate::accept;
+
 /// Calls to the platform, by operation and result.
 pub const PLATFORM_CALLS: &str = "wisteriawick_platform_calls_total";
 /// Answers to callers, by service and outcome.
@@ -68,30 +63,22 @@
 
 /// Serves the metrics of a hosted process as text until `end`.
 pub async fn serve(listener: TcpListener, handle: PrometheusHandle, end: CancellationToken) {
-    let mut upkeep = tokio::time::interval(UPKEEP_EVERY);
-    loop {
-        tokio::select! {
-            accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    tokio::spawn(serve_connection(stream, handle.clone(), end.clone()));
-                }
-            }
-            _ = upkeep.tick() => handle.run_upkeep(),
-            () = end.cancelled() => return,
-        }
+    let serving = accept::each(listener, end, |stream| {
+        let handle = handle.clone();
+        let text = move |_: &str| Response::new(Full::new(Bytes::from(handle.render())));
+        accept::answer_http(stream, text)
+    });
+    tokio::select! {
+        () = serving => {}
+        () = keep_up(&handle) => {}
     }
 }
 
-async fn serve_connection(stream: TcpStream, handle: PrometheusHandle, end: CancellationToken) {
-    let service = service_fn(move |_req: Request<Incoming>| {
-        let text = handle.render();
-        async move { Ok::<_, Infallible>(Response::new(Full::new(Bytes::from(text)))) }
-    });
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-    tokio::select! {
-        // Whoever reads metrics asks again.
-        _ = connection => {}
-        () = end.cancelled() => {}
+async fn keep_up(handle: &PrometheusHandle) {
+    let mut upkeep = tokio::time::interval(UPKEEP_EVERY);
+    loop {
+        upkeep.tick().await;
+        handle.run_upkeep();
     }
 }
 
