The last lines of a process are written, and each cut-off stream logs how far it was

Cause: a thread of its own writes the log, and the process ended without waiting for it.

Change: both roles flush the log before they end, for 100 ms at most. A stream that is cut off at the end of the grace period logs when after SIGTERM its request arrived, whether on a new connection, when it was placed, when its first event came and how many it had.

The test of the whole process passed without the flush too (3 of 3): on this machine the thread is mostly quick enough.

--- a/src/eventlog.rs
+++ b/src/eventlog.rs
@@ -21,6 +21,7 @@
 
 use serde_json::Map;
 use serde_json::Value;
+use tokio::sync::oneshot;
 use wisteriawick_core::time::SharedClock;
 use wisteriawick_core::time::unix_millis;
 
@@ -30,6 +31,17 @@
 const MAX_LINES_PER_S: u32 = 200;
 /// One in this many successful requests is logged.
 const SAMPLE_INTERVAL: u64 = 16;
+/// Longest time that the end of a process waits for its last lines.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// What the writer thread does next.
+#[derive(Debug)]
+enum Output {
+    /// Writes a line.
+    Line(String),
+    /// Reports that all lines queued before are written.
+    Flush(oneshot::Sender<()>),
+}
 
 /// Subject of a line. Callers sample `Routine` lines with
 /// [`EventLog::is_sampled`]; `Failure` lines have level `warn`.
@@ -54,7 +66,7 @@
     process: String,
     clock: SharedClock,
     started: Instant,
-    tx: SyncSender<String>,
+    tx: SyncSender<Output>,
     dropped_lines: AtomicU64,
     window: Mutex<RateWindow>,
 }
@@ -66,10 +78,20 @@
 }
 
 impl EventLog {
-    /// Starts the writer thread; `process` appears in every line.
+    /// Starts the writer thread, which writes to standard output; `process` appears in
+    /// every line.
     pub fn start(process: &str, clock: SharedClock) -> Self {
+        Self::start_with_output(process, clock, std::io::stdout())
+    }
+
+    /// Starts the writer thread with another output.
+    pub fn start_with_output(
+        process: &str,
+        clock: SharedClock,
+        out: impl Write + Send + 'static,
+    ) -> Self {
         let (tx, rx) = sync_channel(QUEUE_LINES);
-        std::thread::spawn(move || write_queued(&rx));
+        std::thread::spawn(move || write_queued(&rx, out));
         let window = RateWindow {
             start: clock.now(),
             lines: 0,
@@ -110,13 +132,23 @@
             line.insert("left_out".into(), dropped_lines.into());
         }
         let text = Value::Object(line).to_string();
-        if self.inner.tx.try_send(text).is_err() {
+        if self.inner.tx.try_send(Output::Line(text)).is_err() {
             self.inner
                 .dropped_lines
                 .fetch_add(dropped_lines + 1, Ordering::Relaxed);
         }
     }
 
+    /// Waits until the lines queued so far are written, but only for a short time.
+    /// A process calls this before it ends, which loses the lines still queued.
+    pub async fn flush(&self) {
+        let (tx, rx) = oneshot::channel();
+        if self.inner.tx.try_send(Output::Flush(tx)).is_ok() {
+            // Lines that take longer are lost, as with a reader that is stuck.
+            let _ = tokio::time::timeout(FLUSH_TIMEOUT, rx).await;
+        }
+    }
+
     /// Returns whether routine lines about this request are to be written.
     pub fn is_sampled(request: &str) -> bool {
         let hash = request.bytes().fold(0u64, |hash, byte| {
@@ -138,17 +170,25 @@
     }
 }
 
-fn write_queued(rx: &Receiver<String>) {
-    let mut out = std::io::stdout();
-    while let Ok(line) = rx.recv() {
-        let mut buf = line;
-        buf.push('\n');
-        while let Ok(line) = rx.try_recv() {
-            buf.push_str(&line);
-            buf.push('\n');
+fn write_queued(rx: &Receiver<Output>, mut out: impl Write) {
+    while let Ok(first) = rx.recv() {
+        let mut buf = String::new();
+        let mut flushes = Vec::new();
+        for output in std::iter::once(first).chain(rx.try_iter()) {
+            match output {
+                Output::Line(line) => {
+                    buf.push_str(&line);
+                    buf.push('\n');
+                }
+                Output::Flush(tx) => flushes.push(tx),
+            }
         }
-        // A failure of standard output cannot be reported anywhere.
+        // A failure of the output cannot be reported anywhere.
         let _ = out.write_all(buf.as_bytes());
         let _ = out.flush();
+        for tx in flushes {
+            // The process may have stopped waiting.
+            let _ = tx.send(());
+        }
     }
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -14,6 +14,7 @@
 mod response;
 mod runner_slot;
 mod state;
+mod stop;
 mod store_watch;
 mod upstream;
 
@@ -77,5 +78,6 @@
     listen::serve_callers(callers, Arc::clone(&state), stop).await;
     shutdown.cancel();
     log.line(EventCategory::State, "stopped", serde_json::json!({}));
+    log.flush().await;
     Ok(())
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -76,6 +76,10 @@
     pub(crate) route_match: RouteMatch,
     pub(crate) service: ServiceId,
     pub(crate) arrived: Instant,
+    /// Time from the signal to stop to the arrival, if there was one before.
+    pub(crate) arrived_after_stop: Option<Duration>,
+    /// Whether this is the first request on its connection.
+    pub(crate) is_first_on_connection: bool,
     /// When the response must have been sent to the caller.
     pub(crate) deadline: Instant,
     /// Identifies the request's content across retries of the caller.
@@ -92,8 +96,13 @@
 }
 
 /// Serves one request.
-pub(crate) async fn serve(state: Arc<GatewayState>, req: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn serve(
+    state: Arc<GatewayState>,
+    req: Request<Incoming>,
+    is_first_on_connection: bool,
+) -> Response<Body> {
     let arrived = state.now();
+    let arrived_after_stop = state.stop.elapsed(arrived);
     let (head, body) = req.into_parts();
     let caller = match CallerRequest::try_from(&head) {
         Ok(caller) => caller,
@@ -135,6 +144,8 @@
         route_match,
         service,
         arrived,
+        arrived_after_stop,
+        is_first_on_connection,
         deadline,
         fingerprint,
     };
@@ -374,6 +385,18 @@
         self.state.log.line(category, kind, line);
     }
 
+    /// Logs that the request is cut off because the process ends.
+    pub(crate) fn log_cut_off(&self, fields: serde_json::Value) {
+        let mut line = json!({
+            "after_stop_ms": self.arrived_after_stop.map(|time| time.as_millis() as u64),
+            "first_on_connection": self.is_first_on_connection,
+        });
+        if let (Some(line), serde_json::Value::Object(fields)) = (line.as_object_mut(), fields) {
+            line.extend(fields);
+        }
+        self.log(EventCategory::Failure, "cut_off", line);
+    }
+
     /// Returns a runner's complete response to the caller.
     fn forward(&self, buffered: BufferedResponse, runner: &RunnerId) -> Response<Body> {
         let status = buffered.status;
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -7,6 +7,8 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -47,6 +49,8 @@
 /// How long before the end of the grace period the remaining connections are
 /// closed.
 const STOP_MARGIN: Duration = Duration::from_millis(800);
+/// Time for streams to end that are cut off.
+const CUT_OFF_TIME: Duration = Duration::from_millis(50);
 /// Factor by which the actual idle timeout exceeds the declared one. A caller that
 /// respects the declared time never sends a request while the connection closes.
 const IDLE_TIMEOUT_FACTOR: u32 = 2;
@@ -83,7 +87,7 @@
     // Cancelled when each connection must close after its current request.
     let finish = CancellationToken::new();
     accept_until(&listener, &state, &tracker, &finish, stop.cancelled()).await;
-    state.set_stopping();
+    state.stop.begin(state.now());
     let grace = state.settings.bounds.grace;
     state.log.line(
         EventCategory::State,
@@ -104,6 +108,9 @@
         state
             .log
             .line(EventCategory::Failure, "cut_off_at_end_of_grace", fields);
+        state.stop.finish();
+        // Each stream that is cut off logs how far it was. The process ends anyway.
+        let _ = tokio::time::timeout(CUT_OFF_TIME, tracker.wait()).await;
     }
 }
 
@@ -141,9 +148,11 @@
         limits.idle_timeout * IDLE_TIMEOUT_FACTOR
     });
     let head_bytes = limits.map_or(MIN_HEAD_BUFFER_BYTES, |limits| limits.max_head_bytes);
+    let is_used = AtomicBool::new(false);
     let service = service_fn(move |req| {
         let state = Arc::clone(&state);
-        async move { Ok::<_, Infallible>(serve_request(state, req).await) }
+        let is_first = !is_used.swap(true, Ordering::Relaxed);
+        async move { Ok::<_, Infallible>(serve_request(state, req, is_first).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -159,9 +168,13 @@
     let _ = connection.await;
 }
 
-async fn serve_request(state: Arc<GatewayState>, req: Request<Incoming>) -> Response<Body> {
+async fn serve_request(
+    state: Arc<GatewayState>,
+    req: Request<Incoming>,
+    is_first: bool,
+) -> Response<Body> {
     let is_stopping = state.is_stopping();
-    let mut res = exchange::serve(state, req).await;
+    let mut res = exchange::serve(state, req, is_first).await;
     if is_stopping {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(CONNECTION, close);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -87,23 +87,40 @@
 impl StreamRelay {
     /// Returns the next event; `None` at the end of the stream.
     async fn next(&mut self) -> Option<std::io::Result<Bytes>> {
-        let deadline = self.exchange.deadline;
-        let next = self.next_or_resume();
-        match tokio::time::timeout_at(deadline.into(), next).await {
-            Ok(event) => event,
-            Err(_) => {
-                self.exchange.log(
+        let exchange = Arc::clone(&self.exchange);
+        let deadline = exchange.deadline.into();
+        tokio::select! {
+            event = self.next_or_resume() => event,
+            () = tokio::time::sleep_until(deadline) => {
+                exchange.log(
                     EventCategory::Failure,
                     "timed_out",
                     json!({"events": self.event_count}),
                 );
-                self.exchange.count_outcome("timed out");
+                exchange.count_outcome("timed out");
                 self.source = None;
                 Some(Err(std::io::ErrorKind::TimedOut.into()))
             }
+            () = exchange.state.stop.wait_until_finished() => {
+                self.log_cut_off();
+                exchange.count_outcome("cut off");
+                self.source = None;
+                Some(Err(std::io::ErrorKind::ConnectionAborted.into()))
+            }
         }
     }
 
+    fn log_cut_off(&self) {
+        let slot = self.source.as_ref().map(|source| &source.slot);
+        let placed = slot.map(|slot| slot.acquired_at - self.exchange.arrived);
+        self.exchange.log_cut_off(json!({
+            "runner": slot.map(|slot| slot.runner.id.as_str()),
+            "placed_ms": placed.unwrap_or_default().as_millis() as u64,
+            "first_ms": self.latency.time_to_first_event().unwrap_or_default().as_millis() as u64,
+            "events": self.event_count,
+        }));
+    }
+
     async fn next_or_resume(&mut self) -> Option<std::io::Result<Bytes>> {
         loop {
             let source = self.source.as_mut()?;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -43,6 +43,7 @@
 use wisteriawick_platform::StoreClient;
 
 use crate::eventlog::EventLog;
+use crate::gateway::stop::Stop;
 use crate::gateway::upstream::UpstreamPool;
 use crate::telemetry;
 
@@ -86,7 +87,7 @@
     next_queue_id: AtomicU64,
     /// Whether the store has listed the runners at least once.
     has_runner_list: AtomicBool,
-    is_stopping: AtomicBool,
+    pub(crate) stop: Stop,
 }
 
 /// The result of submitting a request to a pool.
@@ -118,7 +119,7 @@
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
             next_queue_id: AtomicU64::new(1),
             has_runner_list: AtomicBool::new(false),
-            is_stopping: AtomicBool::new(false),
+            stop: Stop::default(),
             settings,
             clock,
             log,
@@ -244,11 +245,7 @@
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Relaxed)
-    }
-
-    pub(crate) fn set_stopping(&self) {
-        self.is_stopping.store(true, Ordering::Relaxed);
+        self.stop.elapsed(self.now()).is_some()
     }
 
     pub(crate) fn next_queue_id(&self) -> QueuedRequestId {
--- a/src/rank.rs
+++ b/src/rank.rs
@@ -70,5 +70,6 @@
     let leader = LeaderTask::new(settings, clock, log.clone(), handle, load_tx);
     leader.run(stop).await;
     log.line(EventCategory::State, "stopped", json!({}));
+    log.flush().await;
     Ok(())
 }
--- /dev/null
+++ b/tests/hosted_process.rs
@@ -0,0 +1,80 @@
+//! A hosted entry as a process: what its log holds when it has ended.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+use wisteriawick_platform::SETTINGS_VARIABLE;
+use wisteriawick_platform_standin::Store;
+use wisteriawick_platform_standin::entry_settings;
+
+/// Longest time that the process takes to start.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A process that is killed when the test ends.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    socket.local_addr().expect("an address")
+}
+
+async fn wait_until_it_accepts(address: SocketAddr) {
+    let connect = async {
+        while TcpStream::connect(address).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(START_TIMEOUT, connect)
+        .await
+        .expect("the process accepts connections");
+}
+
+fn start_entry(settings: &Path, callers: SocketAddr, store: SocketAddr) -> Process {
+    let text = entry_settings("entry-test", callers, free_address(), store);
+    std::fs::write(settings, text).expect("the settings file is written");
+    let child = Command::new(env!("CARGO_BIN_EXE_wisteriawick"))
+        .arg("entry")
+        .env(SETTINGS_VARIABLE, settings)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the binary starts");
+    Process(child)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn last_line_of_a_stopped_process_is_written() {
+    let teardown = CancellationToken::new();
+    let store = Store::start(teardown.clone()).await.expect("loopback");
+    let file = std::env::temp_dir().join(format!("wisteriawick-{}.toml", std::process::id()));
+    let callers = free_address();
+    let mut process = start_entry(&file, callers, store.address());
+    wait_until_it_accepts(callers).await;
+    let pid = Pid::from_raw(process.0.id() as i32).expect("a process id");
+    kill_process(pid, Signal::TERM).expect("the process runs");
+    let stdout = process.0.stdout.take().expect("piped");
+    let read = tokio::task::spawn_blocking(move || std::io::read_to_string(stdout));
+    let log = read.await.expect("no panic").expect("UTF-8");
+    let last = log.lines().last().expect("lines");
+    assert!(last.contains(r#""event":"stopped""#), "{last}");
+    let status = process.0.wait().expect("the process ended");
+    assert!(status.success(), "{status}");
+    std::fs::remove_file(file).expect("the settings file exists");
+    teardown.cancel();
+}
