A stopping entry takes only what it can finish

Cause: a stopping entry took every request for a fixed 3.5 s, on new and on kept connections, without asking whether it would end within the grace period, and closed whatever was left 0.8 s before its end, without a response. The class: work is taken by the clock of the one who takes it and not by the time that is left to finish it.

Change: StopSchedule decides by the time that is left. Until the load balancer has noticed, a request is refused only if it is expected to last too long, by the times of the last requests and the tokens it asks for; after that, only a request whose deadline is within the grace period is taken. Connections that were open are closed when idle once the load balancer has noticed, unused ones too. Queued requests that would end too late are refused. Requests without a response get 503 or 504 by evidence 0.45 s before the end, streams run until 0.3 s before it.

Why it works: nothing is taken any more whose end is expected, or after 2.5 s not certain, to lie within the grace period; what is refused has not run, and its caller is told when to come back.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -25,6 +25,7 @@
 use wisteriawick_core::gateway::QueuedRequest;
 use wisteriawick_core::gateway::RetryState;
 use wisteriawick_core::gateway::RouteMatch;
+use wisteriawick_core::gateway::StopSchedule;
 use wisteriawick_core::ids::Fingerprint;
 use wisteriawick_core::ids::RunnerId;
 use wisteriawick_core::ids::ServiceId;
@@ -58,6 +59,8 @@
 const RETRY_AFTER_BLOCKED: Duration = Duration::from_secs(30);
 /// Time after which to retry if no runner was free in time.
 const RETRY_AFTER_WAIT: Duration = Duration::from_millis(500);
+/// Time after which to retry a queued request that this process will not send any more.
+const RETRY_AFTER_STOP: Duration = Duration::from_millis(100);
 /// Minimum time without an event after which callers disconnect from a stream. It
 /// is four times the latency target or eight times the maximum event gap if one of
 /// these is longer.
@@ -77,9 +80,9 @@
     pub(crate) service: ServiceId,
     pub(crate) arrived: Instant,
     /// Time from the signal to stop to the arrival, if there was one before.
-    pub(crate) arrived_after_stop: Option<Duration>,
+    arrived_after_stop: Option<Duration>,
     /// Whether this is the first request on its connection.
-    pub(crate) is_first_on_connection: bool,
+    is_first_on_connection: bool,
     /// When the response must have been sent to the caller.
     pub(crate) deadline: Instant,
     /// Identifies the request's content across retries of the caller.
@@ -102,7 +105,6 @@
     is_first_on_connection: bool,
 ) -> Response<Body> {
     let arrived = state.now();
-    let arrived_after_stop = state.stop.elapsed(arrived);
     let (head, body) = req.into_parts();
     let caller = match CallerRequest::try_from(&head) {
         Ok(caller) => caller,
@@ -122,7 +124,7 @@
     let timeout = caller_timeout.min(route_match.route.timeout);
     let deadline = arrived + timeout.saturating_sub(RESPONSE_MARGIN);
     let limit = declaration.limits().max_body_bytes;
-    let body = match read_body(body, limit, deadline).await {
+    let body = match read_body(&state, body, limit, deadline).await {
         Ok(body) => body,
         Err(status) => {
             return local_reply(&caller.id, status, None, "the body did not arrive whole");
@@ -136,6 +138,7 @@
         return local_reply(&caller.id, StatusCode::BAD_GATEWAY, None, "no service");
     };
     let fingerprint = fingerprint(&head, &body, &route_match);
+    let stop = state.stop.schedule().copied();
     let exchange = Exchange {
         state,
         head,
@@ -144,12 +147,15 @@
         route_match,
         service,
         arrived,
-        arrived_after_stop,
+        arrived_after_stop: stop.map(|stop| stop.elapsed(arrived)),
         is_first_on_connection,
         deadline,
         fingerprint,
     };
-    run(Arc::new(exchange)).await
+    match stop {
+        Some(stop) if !exchange.is_taken_during(stop) => exchange.refuse_during(stop),
+        _ => run(Arc::new(exchange)).await,
+    }
 }
 
 fn deny(state: &GatewayState, id: &str, version: u64, denied: Denied) -> Response<Body> {
@@ -163,9 +169,14 @@
     local_reply(id, status, None, reason)
 }
 
-async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, StatusCode> {
+async fn read_body(
+    state: &GatewayState,
+    body: Incoming,
+    limit: usize,
+    deadline: Instant,
+) -> Result<Bytes, StatusCode> {
     let collected = Limited::new(body, limit).collect();
-    match tokio::time::timeout_at(deadline.into(), collected).await {
+    match unless_due(state, deadline, collected).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
             Err(StatusCode::PAYLOAD_TOO_LARGE)
@@ -175,6 +186,28 @@
     }
 }
 
+/// Why a request must be answered before its work is done.
+#[derive(Clone, Copy, Debug)]
+enum Due {
+    /// The caller waits no longer.
+    Deadline,
+    /// The process ends.
+    Stop,
+}
+
+/// Waits for an operation of a request until the request must be answered.
+async fn unless_due<T>(
+    state: &GatewayState,
+    deadline: Instant,
+    operation: impl Future<Output = T>,
+) -> Result<T, Due> {
+    tokio::select! {
+        done = operation => Ok(done),
+        () = tokio::time::sleep_until(deadline.into()) => Err(Due::Deadline),
+        () = state.stop.wait_until_responses_due() => Err(Due::Stop),
+    }
+}
+
 /// Returns a digest of path, workspace and body, which a caller's retry has too.
 fn fingerprint(head: &Parts, body: &[u8], route_match: &RouteMatch) -> Fingerprint {
     let mut hasher = blake3::Hasher::new();
@@ -216,9 +249,9 @@
         is_in_flight: false,
     };
     let responding = attempt_until_response(&exchange, &mut attempts);
-    match tokio::time::timeout_at(exchange.deadline.into(), responding).await {
+    match unless_due(state, exchange.deadline, responding).await {
         Ok(res) => res,
-        Err(_) => exchange.respond_timeout(&attempts),
+        Err(due) => exchange.respond_due(&attempts, due),
     }
 }
 
@@ -323,7 +356,13 @@
         Some(Placement::Immediate(admission)) => admission,
         Some(Placement::Queued(queue_id, rx)) => {
             let _guard = QueueGuard { exchange, queue_id };
-            match tokio::time::timeout_at(latest_start.into(), rx).await {
+            let decided = tokio::select! {
+                decided = tokio::time::timeout_at(latest_start.into(), rx) => decided,
+                () = state.stop.wait_until_latest_start(|| exchange.expected_time()) => {
+                    return Err(RETRY_AFTER_STOP);
+                }
+            };
+            match decided {
                 Ok(Ok(admission)) => admission,
                 _ => return Err(RETRY_AFTER_WAIT),
             }
@@ -356,6 +395,52 @@
 }
 
 impl Exchange {
+    /// Returns how long requests of this kind take, as far as this entry has seen.
+    fn expected_time(&self) -> Duration {
+        let is_streaming = self.route_match.route.is_streaming;
+        let tokens = self.caller.max_response_tokens;
+        self.state
+            .with_service(&self.service, |service_state| {
+                service_state.times(is_streaming).expected(tokens)
+            })
+            .unwrap_or_default()
+    }
+
+    /// Records how long the request took: until the first byte of its response, and
+    /// from then to the end.
+    pub(crate) fn record_times(&self, first: Duration, rest: Duration) {
+        let is_streaming = self.route_match.route.is_streaming;
+        let tokens = self.caller.max_response_tokens;
+        self.state.with_service(&self.service, |service_state| {
+            service_state
+                .times(is_streaming)
+                .record(first, rest, tokens);
+        });
+    }
+
+    fn is_taken_during(&self, stop: StopSchedule) -> bool {
+        stop.takes(self.state.now(), self.deadline, self.expected_time())
+    }
+
+    /// Responds that this process is stopping and did not take the request.
+    fn refuse_during(&self, stop: StopSchedule) -> Response<Body> {
+        self.count_outcome("refused");
+        let retry_after = stop.retry_after(self.state.now());
+        self.log(
+            EventCategory::Failure,
+            "refused",
+            json!({
+                "reason": "stopping",
+                "after_stop_ms": self.arrived_after_stop.map(|time| time.as_millis() as u64),
+                "first_on_connection": self.is_first_on_connection,
+                "expected_ms": self.expected_time().as_millis() as u64,
+                "retry_after_ms": retry_after.as_millis() as u64,
+            }),
+        );
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        local_reply(&self.caller.id, status, Some(retry_after), "stopping")
+    }
+
     /// Returns the latest time at which sending the request to a runner is useful.
     fn latest_start(&self) -> Instant {
         let route = &self.route_match.route;
@@ -377,7 +462,7 @@
         let mut line = json!({
             "request": self.caller.id,
             "route": self.route_match.route.name,
-            "age_ms": self.state.now().saturating_duration_since(self.arrived).as_millis() as u64,
+            "age_ms": self.age().as_millis() as u64,
         });
         if let (Some(line), serde_json::Value::Object(fields)) = (line.as_object_mut(), fields) {
             line.extend(fields);
@@ -411,9 +496,15 @@
             false => "failed by runner",
         });
         self.record_latency();
+        self.record_times(self.age(), Duration::ZERO);
         response(status, buffered.headers, full_body(buffered.body))
     }
 
+    /// Returns the time since the request arrived.
+    pub(crate) fn age(&self) -> Duration {
+        self.state.now().saturating_duration_since(self.arrived)
+    }
+
     /// Counts the request by its outcome.
     pub(crate) fn count_outcome(&self, outcome: &'static str) {
         counter!(telemetry::REQUESTS, "outcome" => outcome).increment(1);
@@ -421,7 +512,7 @@
 
     /// Records the time since the request head arrived.
     pub(crate) fn record_latency(&self) {
-        let age = self.state.now().saturating_duration_since(self.arrived);
+        let age = self.age();
         let kind = match self.route_match.route.is_streaming {
             true => "stream",
             false => "plain",
@@ -429,12 +520,20 @@
         histogram!(telemetry::RESPONSE_SECONDS, "kind" => kind).record(age.as_secs_f64());
     }
 
-    /// Responds after the deadline, depending on whether the request may have been
-    /// executed.
-    fn respond_timeout(&self, attempts: &RequestAttempts) -> Response<Body> {
+    /// Responds when the caller waits no longer or the process ends, depending on
+    /// whether the request may have been executed.
+    fn respond_due(&self, attempts: &RequestAttempts, due: Due) -> Response<Body> {
         if attempts.is_in_flight || attempts.retry.may_have_run {
-            self.count_outcome("timed out");
-            self.log(EventCategory::Failure, "timed_out", json!({"sent": true}));
+            match due {
+                Due::Deadline => {
+                    self.count_outcome("timed out");
+                    self.log(EventCategory::Failure, "timed_out", json!({"sent": true}));
+                }
+                Due::Stop => {
+                    self.count_outcome("cut off");
+                    self.log_cut_off(json!({"events": 0}));
+                }
+            }
             return local_reply(
                 &self.caller.id,
                 StatusCode::GATEWAY_TIMEOUT,
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -1,8 +1,8 @@
 //! Accepts callers' connections and readiness probes, and stops gracefully.
 //!
 //! After a request to stop, the readiness probe fails so that the load balancer in
-//! front of the entries sends no more callers. Connections are still accepted for
-//! a while, and open requests have until the end of the grace period to finish.
+//! front of the entries sends no more callers. A [`StopSchedule`] tells what is still
+//! taken and until when; requests that were taken have until then to finish.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -10,6 +10,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::HeaderValue;
@@ -29,6 +30,7 @@
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use wisteriawick_core::gateway::StopSchedule;
 use wisteriawick_platform::READINESS_PATH;
 
 use crate::accept;
@@ -43,12 +45,6 @@
 
 /// Length of the accept queue. A full queue delays callers by seconds.
 const BACKLOG: u32 = 1024;
-/// How long new connections are accepted after a request to stop. The load balancer
-/// probes readiness every second and removes an entry after two failures.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_500);
-/// How long before the end of the grace period the remaining connections are
-/// closed.
-const STOP_MARGIN: Duration = Duration::from_millis(800);
 /// Time for streams to end that are cut off.
 const CUT_OFF_TIME: Duration = Duration::from_millis(50);
 /// Factor by which the actual idle timeout exceeds the declared one. A caller that
@@ -76,49 +72,71 @@
     socket.listen(BACKLOG).map_err(describe)
 }
 
-/// Serves callers until `stop`, then lets open requests finish within the grace
-/// period.
+/// Serves callers until `stop`, then finishes what was taken within the grace period.
 pub(crate) async fn serve_callers(
     listener: TcpListener,
     state: Arc<GatewayState>,
     stop: CancellationToken,
 ) {
     let tracker = TaskTracker::new();
-    // Cancelled when each connection must close after its current request.
-    let finish = CancellationToken::new();
-    accept_until(&listener, &state, &tracker, &finish, stop.cancelled()).await;
-    state.stop.begin(state.now());
+    // Connections that are open at the signal to stop are closed when they are idle and
+    // the load balancer has noticed; those accepted after it, with the listener.
+    let close_open = CancellationToken::new();
+    accept_until(&listener, &state, &tracker, &close_open, stop.cancelled()).await;
+    let schedule = begin_stop(&state, &tracker);
+    let close_new = CancellationToken::new();
+    let noticed = sleep_until(schedule.balancer_has_noticed_at());
+    accept_until(&listener, &state, &tracker, &close_new, noticed).await;
+    close_open.cancel();
+    let last_accept = sleep_until(schedule.close_listener_at());
+    accept_until(&listener, &state, &tracker, &close_new, last_accept).await;
+    drop(listener);
+    close_new.cancel();
+    tracker.close();
+    if has_ended_by(&tracker, schedule.respond_by()).await {
+        return;
+    }
+    state.stop.require_responses();
+    if has_ended_by(&tracker, schedule.finish_by()).await {
+        return;
+    }
+    let fields = json!({"connections": tracker.len()});
+    state
+        .log
+        .line(EventCategory::Failure, "cut_off_at_end_of_grace", fields);
+    state.stop.finish();
+    // Each stream that is cut off logs how far it was. The process ends anyway.
+    let _ = tokio::time::timeout(CUT_OFF_TIME, tracker.wait()).await;
+}
+
+fn begin_stop(state: &GatewayState, tracker: &TaskTracker) -> StopSchedule {
     let grace = state.settings.bounds.grace;
+    let schedule = StopSchedule::new(state.now(), grace);
+    state.stop.begin(schedule);
     state.log.line(
         EventCategory::State,
         "stopping",
         json!({"connections": tracker.len(), "grace_ms": grace.as_millis() as u64}),
     );
-    let deadline = tokio::time::Instant::now() + grace.saturating_sub(STOP_MARGIN);
-    let stop_accepting = tokio::time::sleep(ACCEPT_AFTER_STOP.min(grace / 2));
-    accept_until(&listener, &state, &tracker, &finish, stop_accepting).await;
-    drop(listener);
-    finish.cancel();
-    tracker.close();
-    if tokio::time::timeout_at(deadline, tracker.wait())
+    schedule
+}
+
+async fn sleep_until(at: Instant) {
+    tokio::time::sleep_until(at.into()).await;
+}
+
+/// Waits for all connections to end; returns whether they had ended by this time.
+async fn has_ended_by(tracker: &TaskTracker, at: Instant) -> bool {
+    tokio::time::timeout_at(at.into(), tracker.wait())
         .await
-        .is_err()
-    {
-        let fields = json!({"connections": tracker.len()});
-        state
-            .log
-            .line(EventCategory::Failure, "cut_off_at_end_of_grace", fields);
-        state.stop.finish();
-        // Each stream that is cut off logs how far it was. The process ends anyway.
-        let _ = tokio::time::timeout(CUT_OFF_TIME, tracker.wait()).await;
-    }
+        .is_ok()
 }
 
 async fn accept_until(
     listener: &TcpListener,
     state: &Arc<GatewayState>,
     tracker: &TaskTracker,
-    finish: &CancellationToken,
+    close: &CancellationToken,
     until: impl Future<Output = ()>,
 ) {
     tokio::pin!(until);
@@ -127,7 +145,7 @@
             () = &mut until => return,
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    tracker.spawn(serve_connection(stream, Arc::clone(state), finish.clone()));
+                    tracker.spawn(serve_connection(stream, Arc::clone(state), close.clone()));
                 }
                 Err(e) => {
                     let fields = json!({"error": e.to_string()});
@@ -139,7 +157,7 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, state: Arc<GatewayState>, finish: CancellationToken) {
+async fn serve_connection(stream: TcpStream, state: Arc<GatewayState>, close: CancellationToken) {
     if enable_dead_peer_detection(&stream).is_err() {
         return; // The caller has already disconnected.
     }
@@ -149,7 +167,7 @@
     });
     let head_bytes = limits.map_or(MIN_HEAD_BUFFER_BYTES, |limits| limits.max_head_bytes);
     let is_used = AtomicBool::new(false);
-    let service = service_fn(move |req| {
+    let service = service_fn(|req| {
         let state = Arc::clone(&state);
         let is_first = !is_used.swap(true, Ordering::Relaxed);
         async move { Ok::<_, Infallible>(serve_request(state, req, is_first).await) }
@@ -163,9 +181,12 @@
     tokio::select! {
         // Errors of a caller's connection need no handling here.
         _ = connection.as_mut() => return,
-        () = finish.cancelled() => connection.as_mut().graceful_shutdown(),
+        () = close.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    // Without a first request hyper keeps the connection open.
+    if is_used.load(Ordering::Relaxed) {
+        let _ = connection.await;
     }
-    let _ = connection.await;
 }
 
 async fn serve_request(
@@ -173,9 +194,8 @@
     req: Request<Incoming>,
     is_first: bool,
 ) -> Response<Body> {
-    let is_stopping = state.is_stopping();
-    let mut res = exchange::serve(state, req, is_first).await;
-    if is_stopping {
+    let mut res = exchange::serve(Arc::clone(&state), req, is_first).await;
+    if state.is_stopping() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(CONNECTION, close);
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -185,9 +185,12 @@
                 .put_idle(state.now(), source.upstream, source.head.keep_alive);
         }
         lock(&state.crash_tracker).clear(self.exchange.fingerprint);
+        let first = self.latency.time_to_first_event().unwrap_or_default();
+        let rest = self.exchange.age().saturating_sub(first);
+        self.exchange.record_times(first, rest);
         let fields = json!({
             "events": self.event_count,
-            "first_ms": self.latency.time_to_first_event().unwrap_or_default().as_millis() as u64,
+            "first_ms": first.as_millis() as u64,
             "pause_ms": self.latency.longest_gap().as_millis() as u64,
             "runner": source.slot.runner.id.as_str(),
         });
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -32,6 +32,7 @@
 use wisteriawick_core::gateway::PoolLimits;
 use wisteriawick_core::gateway::QueuedRequest;
 use wisteriawick_core::gateway::QueuedRequestId;
+use wisteriawick_core::gateway::ResponseTimes;
 use wisteriawick_core::gateway::RunnerOutcome;
 use wisteriawick_core::gateway::RunnerRegistry;
 use wisteriawick_core::gateway::ServiceTarget;
@@ -66,6 +67,8 @@
 pub(crate) struct ServiceState {
     pub(crate) pool: Pool,
     pub(crate) budget: WindowedRetryBudget,
+    stream_times: ResponseTimes,
+    plain_times: ResponseTimes,
     /// Where the decision about each queued request is sent.
     waiters: HashMap<QueuedRequestId, oneshot::Sender<Admission>>,
 }
@@ -185,6 +188,8 @@
                 self.estimated_entries(now).into(),
                 bounds.retry_window,
             ),
+            stream_times: ResponseTimes::default(),
+            plain_times: ResponseTimes::default(),
             waiters: HashMap::default(),
         }
     }
@@ -245,7 +250,7 @@
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stop.elapsed(self.now()).is_some()
+        self.stop.schedule().is_some()
     }
 
     pub(crate) fn next_queue_id(&self) -> QueuedRequestId {
@@ -337,6 +342,14 @@
 }
 
 impl ServiceState {
+    /// Returns the times of the service's streams or of its other requests.
+    pub(crate) fn times(&mut self, is_streaming: bool) -> &mut ResponseTimes {
+        match is_streaming {
+            true => &mut self.stream_times,
+            false => &mut self.plain_times,
+        }
+    }
+
     /// Sends decisions to the tasks of queued requests. If the caller has
     /// disconnected, the assigned slot is released for the next request.
     fn deliver(&mut self, now: Instant, mut dequeued: Vec<DequeuedRequest>) {
