A runner that is silent for longer than a slow pass gets no more requests

Cause: an entry went on sending to a machine that had just frozen, for up to 1.3 s, since nothing but a timeout of a request counted against its runner. The load reports that it had were of the group, not of this runner. What was sent arrived when the machine resumed.

Change: a runner with requests that has sent nothing (no response, no event of a stream) for 400 ms, or for two passes of a slower group, gets no more until it sends something; once its requests have ended it is tried with one at a time. Only services with streams have passes, so others are as before.

Result: runner_that_is_silent_for_longer_than_a_slow_pass_gets_no_more_requests and silent_runner_is_tried_with_one_request_at_a_time failed before and pass.

--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -138,6 +138,7 @@
                     if has_restarted {
                         known.health = Health::new(now);
                         known.clear_report();
+                        known.record_sign_of_life(now);
                     }
                     known.listed = listed;
                     known.is_unlisted = false;
@@ -216,6 +217,9 @@
         }
         if let Some(runner) = self.runners.get_mut(id) {
             runner.request_ended(now);
+            if outcome.is_sign_of_life() {
+                runner.record_sign_of_life(now);
+            }
             match outcome {
                 RunnerOutcome::Served => runner.health.record_served(now),
                 RunnerOutcome::Abandoned => {}
@@ -265,9 +269,17 @@
     /// requests. Returns the requests that leave the queue.
     pub fn response_began(&mut self, now: Instant, id: &RunnerId) -> Vec<DequeuedRequest> {
         self.mark_group_open(id);
+        self.record_sign_of_life(now, id);
         self.dispatch_queued(now)
     }
 
+    /// Records that a runner sent an event of a stream.
+    pub fn record_sign_of_life(&mut self, now: Instant, id: &RunnerId) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.record_sign_of_life(now);
+        }
+    }
+
     fn mark_group_open(&mut self, id: &RunnerId) {
         if self.refusing_groups.is_empty() {
             return;
--- a/crates/core/src/gateway/pool/request.rs
+++ b/crates/core/src/gateway/pool/request.rs
@@ -82,3 +82,13 @@
     /// The runner's address now belongs to another runner.
     Replaced,
 }
+
+impl RunnerOutcome {
+    /// Returns whether the runner has sent something.
+    pub(super) fn is_sign_of_life(self) -> bool {
+        match self {
+            Self::Served | Self::Busy | Self::ErrorResponse | Self::Replaced => true,
+            Self::Abandoned | Self::Failed => false,
+        }
+    }
+}
--- a/crates/core/src/gateway/pool/runner.rs
+++ b/crates/core/src/gateway/pool/runner.rs
@@ -16,6 +16,11 @@
 /// Age of the data in a load report on arrival: agents poll their runner every
 /// 100 ms, and group leaders forward the results with each pass.
 const REPORT_DELAY: Duration = Duration::from_millis(150);
+/// How long a runner may hold requests without a sign of life. A slow pass takes a
+/// quarter of a second.
+const MAX_SILENCE: Duration = Duration::from_millis(400);
+/// As [`MAX_SILENCE`], in passes of a group that is slower.
+const MAX_SILENT_PASSES: u32 = 2;
 
 #[derive(Clone, Debug)]
 pub(super) struct Runner {
@@ -25,6 +30,8 @@
     /// Recent changes of `in_flight`, which load reports do not include yet.
     recent_changes: VecDeque<(Instant, i32)>,
     pub(super) health: Health,
+    /// Since when the runner has had requests without a sign of life.
+    silent_since: Option<Instant>,
     last_report: Option<ReceivedReport>,
     /// Whether the runner is no longer listed. It is kept until its requests have
     /// ended.
@@ -46,6 +53,7 @@
             in_flight: 0,
             recent_changes: VecDeque::new(),
             health: Health::new(now),
+            silent_since: None,
             last_report: None,
             is_unlisted: false,
         }
@@ -59,12 +67,38 @@
     /// Records that this entry sends a request to the runner.
     pub(super) fn request_started(&mut self, now: Instant) {
         self.in_flight += 1;
+        self.silent_since.get_or_insert(now);
         self.record_change(now, 1);
     }
 
+    /// Records that something arrived from the runner.
+    pub(super) fn record_sign_of_life(&mut self, now: Instant) {
+        self.silent_since = (self.in_flight > 0).then_some(now);
+    }
+
+    /// Returns whether the runner has had requests for longer than a slow pass and
+    /// has given no sign of life. A request that is sent to a machine that does not
+    /// respond arrives when it does again, after its caller has left.
+    ///
+    /// Reports do not count: they come from the leader of the runner's group, which
+    /// may run while this runner is unreachable.
+    pub(super) fn is_silent(&self, now: Instant) -> bool {
+        let pass_time = self
+            .fresh_report(now)
+            .and_then(|report| report.load.group.as_ref())
+            .map_or(Duration::ZERO, |group| group.pass_time);
+        let max_silence = MAX_SILENCE.max(pass_time * MAX_SILENT_PASSES);
+        let is_overdue = |since| now.saturating_duration_since(since) > max_silence;
+        self.in_flight > 0 && self.silent_since.is_some_and(is_overdue)
+    }
+
     /// Records that one of this entry's requests ended at the runner.
     pub(super) fn request_ended(&mut self, now: Instant) {
+        let was_silent = self.is_silent(now);
         self.in_flight = self.in_flight.saturating_sub(1);
+        if self.in_flight == 0 && !was_silent {
+            self.silent_since = None;
+        }
         self.record_change(now, -1);
     }
 
@@ -144,6 +178,9 @@
 
     /// Returns whether the limits allow one more request at the runner.
     pub(super) fn has_room(&self, now: Instant, limits: &PoolLimits) -> bool {
+        if limits.max_pass_time.is_some() && self.is_silent(now) {
+            return false;
+        }
         match self.fresh_report(now) {
             Some(report) => self.total_requests(now) < limits.at_pass_time(&report.load),
             None => self.in_flight < limits.max_without_report,
--- a/crates/core/tests/gateway_pool/health.rs
+++ b/crates/core/tests/gateway_pool/health.rs
@@ -10,8 +10,10 @@
 use wisteriawick_core::hosting::ListedState;
 use wisteriawick_core::ids::RunnerId;
 
+use crate::support::address;
 use crate::support::pool;
 use crate::support::queued_request;
+use crate::support::report;
 use crate::support::runner;
 use crate::support::selected_runner;
 
@@ -119,3 +121,56 @@
     }
     assert!(selected_runner(pool.admit(now, queued_request(now, 41))).is_some());
 }
+
+/// Guards against sending request after request to a machine that has just frozen: they
+/// would arrive when it resumes, after their callers have left.
+#[test]
+fn runner_that_is_silent_for_longer_than_a_slow_pass_gets_no_more_requests() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut pool = pool(start, 1);
+    let id = selected_runner(pool.admit(start, queued_request(start, 1))).expect("room");
+    pool.update_load(at(550), address(0), &report(1, true));
+    assert_eq!(
+        pool.admit(at(600), queued_request(at(600), 2)),
+        Admission::Wait,
+        "the group's report does not show that this runner is reached"
+    );
+    let dequeued = pool.response_began(at(700), &id);
+    assert_eq!(dequeued.len(), 1, "the runner has given a sign of life");
+    assert!(selected_runner(pool.admit(at(750), queued_request(at(750), 3))).is_some());
+}
+
+#[test]
+fn silent_runner_is_tried_with_one_request_at_a_time() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut pool = pool(start, 1);
+    let id = selected_runner(pool.admit(start, queued_request(start, 1))).expect("room");
+    pool.request_ended(at(1_300), &id, RunnerOutcome::Failed);
+    let probe = pool.admit(at(1_400), queued_request(at(1_400), 2));
+    assert!(selected_runner(probe).is_some());
+    assert_eq!(
+        pool.admit(at(1_401), queued_request(at(1_401), 3)),
+        Admission::Wait
+    );
+    assert_eq!(
+        pool.request_ended(at(1_450), &id, RunnerOutcome::Served)
+            .len(),
+        1
+    );
+}
+
+#[test]
+fn runner_of_a_slow_group_is_not_silent_between_its_passes() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut pool = pool(start, 1);
+    let mut slow = report(1, true);
+    if let Some(group) = &mut slow.group {
+        group.pass_time = Duration::from_millis(600);
+    }
+    pool.update_load(start, address(0), &slow);
+    assert!(selected_runner(pool.admit(start, queued_request(start, 1))).is_some());
+    assert!(selected_runner(pool.admit(at(700), queued_request(at(700), 2))).is_some());
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -152,7 +152,14 @@
     /// late.
     fn count_event(&mut self) {
         self.event_count += 1;
-        let cause = match self.latency.record_event(self.exchange.state.now()) {
+        let exchange = &self.exchange;
+        if let Some(source) = &self.source {
+            let runner = &source.slot.runner.id;
+            exchange
+                .state
+                .record_sign_of_life(&exchange.service, runner);
+        }
+        let cause = match self.latency.record_event(exchange.state.now()) {
             None => return,
             Some(LateCause::FirstEvent) => "first event",
             Some(LateCause::EventGap) => "pause",
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -310,6 +310,14 @@
         });
     }
 
+    /// Records that a runner sent an event of a stream.
+    pub(crate) fn record_sign_of_life(&self, service: &ServiceId, runner: &RunnerId) {
+        let now = self.now();
+        self.with_service(service, |service_state| {
+            service_state.pool.record_sign_of_life(now, runner);
+        });
+    }
+
     /// Records that a request ended at a runner.
     pub(crate) fn request_ended(
         &self,
