A leader that is told to stop releases a held pass before it ends

Operators saw nothing, callers would have: an agent that led a group ended as soon as SIGTERM came. If it had held a pass and not yet released it, all streams of the group stood until a member noticed the hold, 0.85 s later at the earliest.

Cause: `rank::run` ended all tasks, the links among them, with the signal, and `HoldSwitch` knew nothing of it.

`HoldInput::Stop` forbids new changes; `HoldSwitch::pending_hold` says what a hold still waits for. The leader goes on until nothing does, for at most 2 s or half of the grace period, and logs `leader_stopped`. Links, member and resolver end after it. A reading of the store no longer delays the end.

The simulation of held passes stops leaders at every step.

--- a/crates/core/src/maps.rs
+++ b/crates/core/src/maps.rs
@@ -28,6 +28,7 @@
 pub use hold_switch::HoldInput;
 pub use hold_switch::HoldOutput;
 pub use hold_switch::HoldSwitch;
+pub use hold_switch::PendingHold;
 pub use leader::GroupSnapshot;
 pub use leader::Leader;
 pub use leader::LeaderInput;
--- a/crates/core/src/maps/hold_switch.rs
+++ b/crates/core/src/maps/hold_switch.rs
@@ -49,10 +49,27 @@
     /// The group is to change to a map. Ignored while another change is under
     /// way.
     Propose(MapNumber, Arc<ExpertMap>),
+    /// The process is about to end. From now on no change begins, except one that
+    /// a held pass needs to begin. A change whose pass may be held goes on; see
+    /// [`HoldSwitch::pending_hold`].
+    Stop,
     /// Time passed.
     Tick,
 }
 
+/// What a hold waits for before the group's pass can begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PendingHold {
+    /// The hold is ordered, and its outcome is not known yet.
+    Ordered,
+    /// The pass is held, and no map is ready on all ranks.
+    WithoutMap,
+    /// The pass is held, and not all ranks are armed.
+    Unarmed,
+    /// All ranks are armed, and the release is not known to have taken effect.
+    Unreleased,
+}
+
 /// An output of [`HoldSwitch`]: an order to send, or an event.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HoldOutput {
@@ -146,6 +163,7 @@
     epoch: u64,
     /// A held pass for which no map is ready on all ranks.
     pass_without_map: Option<u64>,
+    is_stopping: bool,
 }
 
 impl HoldSwitch {
@@ -157,13 +175,15 @@
             phase: Phase::Idle,
             epoch: 0,
             pass_without_map: None,
+            is_stopping: false,
         }
     }
 
     /// Returns the group's epoch and the map that all ranks use, if a new map may
-    /// be proposed: no change is under way, or a held pass waits for a map.
+    /// be proposed: no change is under way, or a held pass waits for a map. After
+    /// [`HoldInput::Stop`] only the latter allows a proposal.
     pub fn idle_map(&self) -> Option<(u64, MapNumber)> {
-        if !matches!(self.phase, Phase::Idle) {
+        if !matches!(self.phase, Phase::Idle) || self.is_stopping && !self.needs_map() {
             return None;
         }
         let views = self.all_views()?;
@@ -186,6 +206,21 @@
         !matches!(self.phase, Phase::Idle | Phase::Preparing { .. })
     }
 
+    /// Returns what a hold waits for that this switch ordered or found; `None` if no
+    /// pass is known to need this switch to begin. An agent that stops may end then:
+    /// prepared experts and armed ranks without a hold delay no pass.
+    pub fn pending_hold(&self) -> Option<PendingHold> {
+        match self.phase {
+            Phase::Idle | Phase::Preparing { .. } | Phase::Settling { .. } => {
+                let held = self.holder().and_then(|view| view.held);
+                held.map(|_| PendingHold::WithoutMap)
+            }
+            Phase::Holding { .. } => Some(PendingHold::Ordered),
+            Phase::Arming(_) => Some(PendingHold::Unarmed),
+            Phase::Releasing(_) => Some(PendingHold::Unreleased),
+        }
+    }
+
     /// Handles an input and appends the outputs that follow from it.
     pub fn handle(&mut self, now: Instant, input: HoldInput, out: &mut Vec<HoldOutput>) {
         match input {
@@ -204,6 +239,7 @@
                     };
                 }
             }
+            HoldInput::Stop => self.is_stopping = true,
             HoldInput::Tick => {}
         }
         self.run_steps(now, out);
@@ -329,6 +365,10 @@
             self.abort("the experts were not copied in time", out);
             return true;
         }
+        if held.is_none() && self.is_stopping {
+            self.abort("the leader stops", out);
+            return true;
+        }
         let order = RankOrder::Prepare {
             number,
             map: Arc::clone(map),
@@ -381,7 +421,11 @@
             return true;
         }
         if view.pass >= pass {
-            // The pass began before the hold order arrived.
+            // The pass began before the hold order arrived, which has no effect now.
+            if self.is_stopping {
+                self.abort("the leader stops", out);
+                return true;
+            }
             let pass = self.next_pass();
             self.phase = Phase::Holding { number, pass };
             return true;
--- a/crates/faults/src/hold_switch.rs
+++ b/crates/faults/src/hold_switch.rs
@@ -2,8 +2,8 @@
 //!
 //! The agents run the production code of
 //! [`HoldSwitch`](wisteriawick_core::maps::HoldSwitch); the ranks' engines are fakes.
-//! Orders are lost, executed late or twice, or refused. The leader freezes, or is
-//! killed and replaced, the group breaks and forms again, and several members may
+//! Orders are lost, executed late or twice, or refused. The leader freezes, is killed
+//! or is told to stop, and is replaced, the group breaks and forms again, and several members may
 //! resolve a hold at once. The simulation counts the passes that begin with
 //! different maps on different ranks, which must never happen.
 
@@ -29,6 +29,9 @@
     pub freeze_interval_ms: u64,
     /// Mean time between kills of the leader, in milliseconds; zero for none.
     pub kill_interval_ms: u64,
+    /// Mean time between stops of the leader, in milliseconds; zero for none. Unlike a
+    /// killed one, a leader that is told to stop may finish its change.
+    pub stop_interval_ms: u64,
     /// Mean time between breaks of the group, in milliseconds; zero for none.
     pub break_interval_ms: u64,
 }
@@ -43,6 +46,7 @@
             duplicated: 0.0,
             freeze_interval_ms: 0,
             kill_interval_ms: 0,
+            stop_interval_ms: 0,
             break_interval_ms: 0,
         }
     }
@@ -57,6 +61,21 @@
     EarlyGo,
     /// A hold that another agent left is released without arming the ranks.
     ReleaseUnarmed,
+    /// A leader that is told to stop ends at once, whatever it has begun.
+    EndAtOnce,
+}
+
+/// How often a leader was told to stop, by the state of its change.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StopCounts {
+    /// No pass was held, and no hold was ordered.
+    pub without_hold: u32,
+    /// The hold was ordered and its outcome not known.
+    pub hold_ordered: u32,
+    /// The pass was held, and not all ranks were armed.
+    pub unarmed: u32,
+    /// All ranks were armed, and the release was not known to have taken effect.
+    pub unreleased: u32,
 }
 
 /// The result of a run.
@@ -71,6 +90,10 @@
     /// Longest time from the beginning of a pass to that of the next while the group was
     /// complete, in milliseconds.
     pub longest_hold_ms: u64,
+    /// When leaders were told to stop.
+    pub stops: StopCounts,
+    /// Number of leaders that ended after they were told to stop, while a pass was held.
+    pub holds_left: u32,
 }
 
 /// Runs the simulation. No faults are injected in its last seconds, so that the group
--- a/crates/faults/src/hold_switch/agent.rs
+++ b/crates/faults/src/hold_switch/agent.rs
@@ -8,6 +8,7 @@
 use wisteriawick_core::maps::HoldOutput;
 use wisteriawick_core::maps::HoldSwitch;
 use wisteriawick_core::maps::MapNumber;
+use wisteriawick_core::maps::PendingHold;
 use wisteriawick_core::maps::RankOrder;
 use wisteriawick_core::maps::RankView;
 
@@ -59,6 +60,16 @@
         true
     }
 
+    /// Tells the switch that the agent is about to end.
+    pub(crate) fn stop(&mut self, now: Instant) {
+        self.switch.handle(now, HoldInput::Stop, &mut self.pending);
+    }
+
+    /// Returns what a hold waits for that the switch ordered or found.
+    pub(crate) fn pending_hold(&self) -> Option<PendingHold> {
+        self.switch.pending_hold()
+    }
+
     /// Lets the switch check its timeouts.
     pub(crate) fn tick(&mut self, now: Instant) {
         self.switch.handle(now, HoldInput::Tick, &mut self.pending);
--- a/crates/faults/src/hold_switch/simulation.rs
+++ b/crates/faults/src/hold_switch/simulation.rs
@@ -9,11 +9,13 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use wisteriawick_core::maps::MapNumber;
+use wisteriawick_core::maps::PendingHold;
 use wisteriawick_core::maps::RankView;
 
 use crate::hold_switch::HoldFaults;
 use crate::hold_switch::HoldMutation;
 use crate::hold_switch::HoldReport;
+use crate::hold_switch::StopCounts;
 use crate::hold_switch::agent::Agent;
 use crate::hold_switch::rank::RankEngine;
 use crate::hold_switch::rank::SentOrder;
@@ -34,7 +36,9 @@
 const LATE_ORDER_DELAY_MS: (u64, u64) = (300, 2_500);
 /// How long a frozen leader does nothing.
 const FREEZE_DURATION_MS: u64 = 900;
-/// Time from the death of a leader to the start of its replacement.
+/// Longest time that a leader which is told to stop may go on.
+const STOP_TIMEOUT_MS: u64 = 2_000;
+/// Time from the end of a leader to the start of its replacement.
 const LEADER_RESTART_DELAY_MS: u64 = 300;
 /// Time that a broken group takes to form again.
 const GROUP_FORM_DURATION_MS: u64 = 120;
@@ -67,6 +71,8 @@
     last_pass_at_ms: u64,
     /// `None` while the leader is dead.
     leader: Option<Agent>,
+    /// When the leader was told to stop, in milliseconds.
+    stop_asked_at_ms: Option<u64>,
     leader_restart_at_ms: u64,
     /// The resolving members that act now, in the order of [`RESOLVE_AFTER_MS`].
     resolvers: Vec<Option<Resolver>>,
@@ -94,6 +100,7 @@
             next_pass_at_ms: 0,
             last_pass_at_ms: 0,
             leader: Some(Agent::new(RANKS, mutation)),
+            stop_asked_at_ms: None,
             leader_restart_at_ms: 0,
             resolvers: RESOLVE_AFTER_MS.map(|_| None).into(),
             orders: BTreeMap::new(),
@@ -145,8 +152,14 @@
         if self.occurs(self.faults.kill_interval_ms)
             && let Some(killed) = self.leader.take()
         {
-            self.killed_leader_switches += killed.switches;
-            self.leader_restart_at_ms = self.now_ms + LEADER_RESTART_DELAY_MS;
+            self.end_leader(&killed);
+        }
+        if self.occurs(self.faults.stop_interval_ms)
+            && let Some(leader) = &self.leader
+            && self.stop_asked_at_ms.is_none()
+        {
+            self.stop_asked_at_ms = Some(self.now_ms);
+            self.report.stops.count(leader.pending_hold());
         }
         if self.leader.is_none() && self.now_ms >= self.leader_restart_at_ms {
             self.leader = Some(Agent::new(RANKS, self.mutation));
@@ -159,6 +172,13 @@
         }
     }
 
+    /// Schedules the replacement of a leader that has ended.
+    fn end_leader(&mut self, leader: &Agent) {
+        self.killed_leader_switches += leader.switches;
+        self.stop_asked_at_ms = None;
+        self.leader_restart_at_ms = self.now_ms + LEADER_RESTART_DELAY_MS;
+    }
+
     fn deliver_orders(&mut self) {
         let due = self.orders.remove(&self.now_ms).unwrap_or_default();
         for (rank, sent) in due {
@@ -219,6 +239,7 @@
             self.run_leader(now, leader);
         }
         self.leader = leader;
+        self.end_stopped_leader();
         for index in 0..self.resolvers.len() {
             let Some(mut resolver) = self.resolvers[index].take() else {
                 continue;
@@ -236,11 +257,34 @@
     fn run_leader(&mut self, now: Instant, leader: &mut Agent) {
         self.send_orders(leader);
         self.report_views(now, leader, 0);
+        if self.stop_asked_at_ms.is_some() {
+            leader.stop(now);
+        }
         if leader.propose(now, MapNumber(self.next_number)) {
             self.next_number += 1;
         }
     }
 
+    /// Ends a leader that was told to stop, once it has finished or its time is over.
+    fn end_stopped_leader(&mut self) {
+        let Some(asked_at_ms) = self.stop_asked_at_ms else {
+            return;
+        };
+        let Some(leader) = self.leader.take() else {
+            return;
+        };
+        let is_frozen = self.now_ms < leader.frozen_until_ms;
+        let is_late = self.now_ms - asked_at_ms >= STOP_TIMEOUT_MS;
+        let ends_at_once = self.mutation == Some(HoldMutation::EndAtOnce);
+        let is_done = leader.pending_hold().is_none();
+        if is_frozen || !(is_done || is_late || ends_at_once) {
+            self.leader = Some(leader);
+            return;
+        }
+        self.report.holds_left += u32::from(self.ranks[0].held.is_some());
+        self.end_leader(&leader);
+    }
+
     /// Starts the members that resolve a hold, if no pass has begun for long enough.
     fn start_resolvers(&mut self) {
         let stalled_ms = self.now_ms.saturating_sub(self.last_pass_at_ms);
@@ -296,3 +340,16 @@
         }
     }
 }
+
+impl StopCounts {
+    /// Counts a leader that is told to stop while this hold is pending.
+    fn count(&mut self, hold: Option<PendingHold>) {
+        let count = match hold {
+            None => &mut self.without_hold,
+            Some(PendingHold::Ordered) => &mut self.hold_ordered,
+            Some(PendingHold::WithoutMap | PendingHold::Unarmed) => &mut self.unarmed,
+            Some(PendingHold::Unreleased) => &mut self.unreleased,
+        };
+        *count += 1;
+    }
+}
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -24,6 +24,7 @@
 pub use hold_switch::HoldFaults;
 pub use hold_switch::HoldMutation;
 pub use hold_switch::HoldReport;
+pub use hold_switch::StopCounts;
 pub use hold_switch::run_hold_switch;
 pub use matrix::Invariant;
 pub use matrix::Matrix;
--- a/crates/faults/tests/hold_switch.rs
+++ b/crates/faults/tests/hold_switch.rs
@@ -3,6 +3,8 @@
 
 use wisteriawick_faults::HoldFaults;
 use wisteriawick_faults::HoldMutation;
+use wisteriawick_faults::HoldReport;
+use wisteriawick_faults::StopCounts;
 use wisteriawick_faults::run_hold_switch;
 
 /// Number of seeds for each mix of faults.
@@ -11,6 +13,9 @@
 /// faults. A member begins to resolve a hold that it finds after a fraction of a
 /// second, and each of its orders may be lost a few times.
 const MAX_HOLD_MS: u64 = 3_000;
+/// Longest time, in milliseconds, that a group may be held while nothing else fails.
+/// Members begin to resolve a hold after this time.
+const MAX_UNDISTURBED_HOLD_MS: u64 = 100;
 
 fn fault_mixes(seed: u64) -> Vec<HoldFaults> {
     let none = HoldFaults::none(seed);
@@ -32,6 +37,11 @@
             late: 0.3,
             ..none
         },
+        HoldFaults {
+            stop_interval_ms: 500,
+            late: 0.3,
+            ..none
+        },
         HoldFaults {
             break_interval_ms: 900,
             late: 0.3,
@@ -44,6 +54,7 @@
             duplicated: 0.2,
             freeze_interval_ms: 1_500,
             kill_interval_ms: 1_500,
+            stop_interval_ms: 1_500,
             break_interval_ms: 2_500,
             ..none
         },
@@ -55,7 +66,10 @@
     let report = run_hold_switch(HoldFaults::none(1), None);
     assert_eq!(report.mixed_map_passes, 0);
     assert!(report.switches > 100, "{report:?}");
-    assert!(report.longest_hold_ms < 100, "{report:?}");
+    assert!(
+        report.longest_hold_ms < MAX_UNDISTURBED_HOLD_MS,
+        "{report:?}"
+    );
 }
 
 #[test]
@@ -73,6 +87,51 @@
     }
 }
 
+/// Returns runs in which the leader is told to stop again and again, without any
+/// other fault.
+fn runs_with_stops(mutation: Option<HoldMutation>) -> Vec<HoldReport> {
+    (0..SEEDS)
+        .map(|seed| {
+            let faults = HoldFaults {
+                stop_interval_ms: 100,
+                ..HoldFaults::none(seed)
+            };
+            run_hold_switch(faults, mutation)
+        })
+        .collect()
+}
+
+#[test]
+fn a_leader_that_stops_at_any_step_leaves_no_hold() {
+    let reports = runs_with_stops(None);
+    for report in &reports {
+        assert_eq!(report.holds_left, 0, "{report:?}");
+        assert_eq!(report.mixed_map_passes, 0, "{report:?}");
+        assert!(
+            report.longest_hold_ms < MAX_UNDISTURBED_HOLD_MS,
+            "{report:?}"
+        );
+    }
+    let stops_at = |count: fn(&StopCounts) -> u32| -> u32 {
+        reports.iter().map(|report| count(&report.stops)).sum()
+    };
+    assert!(stops_at(|stops| stops.without_hold) > 0);
+    assert!(stops_at(|stops| stops.hold_ordered) > 0);
+    assert!(stops_at(|stops| stops.unarmed) > 0);
+    assert!(stops_at(|stops| stops.unreleased) > 0);
+}
+
+#[test]
+fn a_leader_that_ends_in_the_middle_of_a_change_is_detected() {
+    let reports = runs_with_stops(Some(HoldMutation::EndAtOnce));
+    assert!(reports.iter().all(|report| report.holds_left > 0));
+    assert!(
+        reports
+            .iter()
+            .all(|report| report.longest_hold_ms > MAX_UNDISTURBED_HOLD_MS)
+    );
+}
+
 /// Returns whether some run with the mutation begins a pass with two maps.
 fn is_detected(mutation: HoldMutation) -> bool {
     (0..SEEDS)
--- a/src/rank.rs
+++ b/src/rank.rs
@@ -35,7 +35,8 @@
 use crate::rank::link::GroupHandle;
 use crate::rank::member::MemberTask;
 
-/// Runs until `stop` is cancelled.
+/// Runs until `stop` is cancelled. An agent that leads then releases the pass that its
+/// group is held at, if any, which takes a bounded time; its other tasks go on meanwhile.
 ///
 /// # Errors
 ///
@@ -55,8 +56,10 @@
         "started",
         json!({"place": settings.place.as_str(), "runner": runner.to_string()}),
     );
+    let ended = CancellationToken::new();
+    let _end_tasks = ended.clone().drop_guard();
     let (member, handle) = MemberTask::new(runner, Arc::clone(&clock), log.clone());
-    tokio::spawn(member.run(stop.clone()));
+    tokio::spawn(member.run(ended.clone()));
     let (load_tx, load) = watch::channel(None);
     let (runners_tx, runners) = watch::channel(Vec::new());
     let group = GroupHandle {
@@ -64,9 +67,9 @@
         runners: runners_tx,
         entries: Arc::default(),
     };
-    tokio::spawn(link::serve(listener, handle.clone(), group, stop.clone()));
+    tokio::spawn(link::serve(listener, handle.clone(), group, ended.clone()));
     let resolver = HoldResolver::new(Arc::clone(&clock), log.clone(), handle.clone(), runners);
-    tokio::spawn(resolver.run(stop.clone()));
+    tokio::spawn(resolver.run(ended));
     let leader = LeaderTask::new(settings, clock, log.clone(), handle, load_tx);
     leader.run(stop).await;
     log.line(EventCategory::State, "stopped", json!({}));
--- a/src/rank/leader.rs
+++ b/src/rank/leader.rs
@@ -10,6 +10,7 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use metrics::counter;
 use metrics::gauge;
@@ -25,6 +26,7 @@
 use wisteriawick_core::maps::HoldInput;
 use wisteriawick_core::maps::HoldOutput;
 use wisteriawick_core::maps::MapNumber;
+use wisteriawick_core::maps::PendingHold;
 use wisteriawick_core::maps::RankOrder;
 use wisteriawick_core::maps::plan_copies;
 use wisteriawick_core::time::SharedClock;
@@ -61,6 +63,10 @@
 const REFRESH_INTERVAL: Duration = Duration::from_secs(4);
 /// Longest wait for the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest time that a leader which is told to stop goes on to release a held pass; at
+/// most half of the grace period. A change takes a fraction of a second, and members
+/// resolve a hold that stays longer.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Most copies of one rank in a plan; a copy takes about 0.15 s. The first copies
 /// after a shift of popularity save most, and the next plan makes the others.
 /// With three copies, plans came into use half a second later.
@@ -74,6 +80,32 @@
 /// not use a number again.
 const RANDOM_BITS: u32 = 8;
 
+/// A signal to stop that reached the leader.
+struct Stopping {
+    since: Instant,
+    /// What a hold waited for at that time.
+    hold: Option<PendingHold>,
+}
+
+impl Stopping {
+    fn new(leadership: &Leadership, now: Instant) -> Self {
+        Self {
+            since: now,
+            hold: leadership.switch.pending_hold(),
+        }
+    }
+}
+
+/// Returns the name of a hold's state in the log.
+fn hold_name(hold: PendingHold) -> &'static str {
+    match hold {
+        PendingHold::Ordered => "ordered",
+        PendingHold::WithoutMap => "without map",
+        PendingHold::Unarmed => "unarmed",
+        PendingHold::Unreleased => "unreleased",
+    }
+}
+
 /// The state of the leader task, which waits as long as this agent does not lead.
 pub(crate) struct LeaderTask {
     settings: HostSettings,
@@ -109,7 +141,8 @@
         }
     }
 
-    /// Leads whenever this agent's runner is rank 0, until `stop` is cancelled.
+    /// Leads whenever this agent's runner is rank 0, until `stop` is cancelled and no
+    /// pass is held.
     pub(crate) async fn run(mut self, stop: CancellationToken) {
         loop {
             let own = self.member.own.borrow_and_update().clone();
@@ -119,9 +152,10 @@
             {
                 let fields = json!({"group": own.state.group, "size": own.state.size});
                 self.log.line(EventCategory::State, "leads", fields);
-                let leadership_stop = stop.child_token();
-                self.lead(own, leadership_stop.clone()).await;
-                leadership_stop.cancel();
+                self.lead(own, &stop).await;
+            }
+            if stop.is_cancelled() {
+                return;
             }
             tokio::select! {
                 changed = self.member.own.changed() => {
@@ -134,8 +168,13 @@
         }
     }
 
-    /// Leads until this agent's rank changes or it stops.
-    async fn lead(&mut self, own: OwnRank, stop: CancellationToken) {
+    /// Leads until this agent's rank changes, or `stop` is cancelled and the group is
+    /// not held.
+    async fn lead(&mut self, own: OwnRank, stop: &CancellationToken) {
+        // The links outlast the signal to stop, since a held pass needs them.
+        let links_end = CancellationToken::new();
+        let _end_links = links_end.clone().drop_guard();
+        let mut stopping = None;
         let (events_tx, mut events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
         let mut counts = self.member.counts();
         let mut leadership = Leadership::new(&own, self.settings.runner, self.clock.now());
@@ -170,11 +209,47 @@
                     self.handle_input(&mut leadership, HoldInput::Tick);
                     self.plan(&mut leadership);
                     self.log_pace(&mut leadership);
-                    self.refresh(&mut leadership, &events_tx, &stop).await;
+                    if stopping.is_none() {
+                        tokio::select! {
+                            () = self.refresh(&mut leadership, &events_tx, &links_end) => {}
+                            () = stop.cancelled() => {}
+                        }
+                    }
+                }
+                () = stop.cancelled(), if stopping.is_none() => {
+                    stopping = Some(Stopping::new(&leadership, self.clock.now()));
+                    self.handle_input(&mut leadership, HoldInput::Stop);
                 }
-                () = stop.cancelled() => return,
             }
+            if let Some(stopping) = &stopping
+                && self.may_end(&leadership, stopping)
+            {
+                return;
+            }
+        }
+    }
+
+    /// Returns whether a leader that is told to stop may end, and logs if so what it
+    /// leaves.
+    fn may_end(&self, leadership: &Leadership, stopping: &Stopping) -> bool {
+        let pending = leadership.switch.pending_hold();
+        let took = self.clock.now().saturating_duration_since(stopping.since);
+        let limit = RELEASE_TIMEOUT.min(self.settings.bounds.grace / 2);
+        if pending.is_some() && took < limit {
+            return false;
         }
+        let category = match pending {
+            None => EventCategory::State,
+            Some(_) => EventCategory::Failure,
+        };
+        let fields = json!({
+            "group": leadership.group,
+            "hold_at_stop": stopping.hold.map(hold_name),
+            "hold_left": pending.map(hold_name),
+            "took_ms": took.as_micros() as f64 / 1000.0,
+        });
+        self.log.line(category, "leader_stopped", fields);
+        true
     }
 
     /// Handles a new state of this agent's own rank.
@@ -440,7 +515,7 @@
         &mut self,
         leadership: &mut Leadership,
         events: &mpsc::Sender<PeerEvent>,
-        stop: &CancellationToken,
+        links_end: &CancellationToken,
     ) {
         let now = self.clock.now();
         let due = leadership
@@ -450,7 +525,7 @@
             return;
         }
         leadership.refreshed_at = Some(now);
-        if let Err(e) = self.read_store(leadership, events, stop).await {
+        if let Err(e) = self.read_store(leadership, events, links_end).await {
             let fields = json!({"error": e.to_string()});
             self.log.line(EventCategory::Failure, "store_lost", fields);
         }
@@ -462,7 +537,7 @@
         &mut self,
         leadership: &mut Leadership,
         events: &mpsc::Sender<PeerEvent>,
-        stop: &CancellationToken,
+        links_end: &CancellationToken,
     ) -> Result<(), wisteriawick_platform::StoreError> {
         if self.layout.is_none() {
             let listing = self.store.declaration(STORE_TIMEOUT).await?;
@@ -485,7 +560,7 @@
             for runner in listing.items {
                 if Some(&runner.service) == service && Some(runner.address) != self.settings.runner
                 {
-                    self.dial(leadership, runner.address, events, stop);
+                    self.dial(leadership, runner.address, events, links_end);
                 }
             }
         }
@@ -498,12 +573,12 @@
         leadership: &mut Leadership,
         runner: SocketAddr,
         events: &mpsc::Sender<PeerEvent>,
-        stop: &CancellationToken,
+        links_end: &CancellationToken,
     ) {
         if leadership.dialers.contains_key(&runner) {
             return;
         }
-        let stop = stop.child_token();
+        let stop = links_end.child_token();
         leadership.dialers.insert(runner, stop.clone());
         let agent = SocketAddr::new(runner.ip(), link_port(self.settings.link_ports));
         let dialer = PeerDialer {
