A held pass is released though the agent of a member has ended

If the agent of a member ended (SIGTERM, a crash, a lost link) while its group was held, all streams of the group stood until another member resolved the hold, 0.85 s later at the earliest; in a group without running requests nobody did.

Cause: the leader forgot the state of a rank with the link to its agent. It could neither see that the rank was armed nor order it again, so `arm_directly`, meant for this case, was never reached.

While a pass may be held, `HoldInput::Lost` now keeps the rank's last state: an armed rank stays armed until the pass begins, and a new epoch discards all states. A rank that is not armed is armed at its runner, one attempt at a time, and the state read there goes to the switch unless the agent is linked again by then.

The simulation ends links to members while their ranks continue. Not modelled: the lag of a runner's report to another machine.

--- a/crates/core/src/maps/hold_switch.rs
+++ b/crates/core/src/maps/hold_switch.rs
@@ -44,7 +44,9 @@
 pub enum HoldInput {
     /// A rank reported its state.
     View(usize, RankView),
-    /// A rank's state is no longer known.
+    /// A rank's state is no longer reported. While a pass may be held, its last state
+    /// still counts: an armed rank stays armed until the pass begins, and one that is
+    /// not armed is ordered again.
     Lost(usize),
     /// The group is to change to a map. Ignored while another change is under
     /// way.
@@ -226,7 +228,9 @@
         match input {
             HoldInput::View(rank, view) => self.update_view(rank, view, out),
             HoldInput::Lost(rank) => {
-                if let Some(view) = self.views.get_mut(rank) {
+                if !self.is_urgent()
+                    && let Some(view) = self.views.get_mut(rank)
+                {
                     *view = None;
                 }
             }
--- a/crates/faults/src/hold_switch.rs
+++ b/crates/faults/src/hold_switch.rs
@@ -32,6 +32,9 @@
     /// Mean time between stops of the leader, in milliseconds; zero for none. Unlike a
     /// killed one, a leader that is told to stop may finish its change.
     pub stop_interval_ms: u64,
+    /// Mean time between losses of a link from the leader to a member whose agent ends
+    /// while its rank continues, in milliseconds; zero for none.
+    pub unlink_interval_ms: u64,
     /// Mean time between breaks of the group, in milliseconds; zero for none.
     pub break_interval_ms: u64,
 }
@@ -47,6 +50,7 @@
             freeze_interval_ms: 0,
             kill_interval_ms: 0,
             stop_interval_ms: 0,
+            unlink_interval_ms: 0,
             break_interval_ms: 0,
         }
     }
--- a/crates/faults/src/hold_switch/agent.rs
+++ b/crates/faults/src/hold_switch/agent.rs
@@ -21,6 +21,11 @@
     mutation: Option<HoldMutation>,
     /// The last state that each rank reported, by rank.
     last_views: Vec<Option<RankView>>,
+    /// By rank, whether the agent is not linked to the agent of that rank. Then it can
+    /// arm the rank, and reads its state when it does, but nothing else.
+    unlinked: Vec<bool>,
+    /// By rank, whether the agent arms the rank without a link, and so reads its state.
+    arms_directly: Vec<bool>,
     pub(crate) frozen_until_ms: u64,
     /// Outputs of the switch that were not executed yet. A frozen agent keeps them
     /// until it resumes.
@@ -35,6 +40,8 @@
             switch: HoldSwitch::new(ranks),
             mutation,
             last_views: vec![None; ranks],
+            unlinked: vec![false; ranks],
+            arms_directly: vec![false; ranks],
             frozen_until_ms: 0,
             pending: Vec::new(),
             switches: 0,
@@ -44,11 +51,26 @@
     /// Receives a rank's state. The resulting orders are kept for
     /// [`Agent::take_orders`].
     pub(crate) fn receive_view(&mut self, now: Instant, rank: usize, view: RankView) {
+        if self.unlinked[rank] && !std::mem::take(&mut self.arms_directly[rank]) {
+            return;
+        }
         self.last_views[rank] = Some(view.clone());
         let input = HoldInput::View(rank, view);
         self.switch.handle(now, input, &mut self.pending);
     }
 
+    /// Loses the link to the agent of a rank.
+    pub(crate) fn lose_link(&mut self, now: Instant, rank: usize) {
+        self.unlinked[rank] = true;
+        let input = HoldInput::Lost(rank);
+        self.switch.handle(now, input, &mut self.pending);
+    }
+
+    /// Regains the link to the agent of a rank.
+    pub(crate) fn regain_link(&mut self, rank: usize) {
+        self.unlinked[rank] = false;
+    }
+
     /// Proposes a map if no switch is in progress; returns whether it did.
     pub(crate) fn propose(&mut self, now: Instant, number: MapNumber) -> bool {
         if self.switch.idle_map().is_none() {
@@ -81,6 +103,12 @@
         for output in std::mem::take(&mut self.pending) {
             match output {
                 HoldOutput::Order { rank, epoch, order } => {
+                    if self.unlinked[rank] {
+                        if !matches!(order, RankOrder::Arm { .. }) {
+                            continue;
+                        }
+                        self.arms_directly[rank] = true;
+                    }
                     self.push_order(&mut orders, rank, epoch, order);
                 }
                 HoldOutput::Switched { .. } => self.switches += 1,
--- a/crates/faults/src/hold_switch/simulation.rs
+++ b/crates/faults/src/hold_switch/simulation.rs
@@ -40,6 +40,8 @@
 const STOP_TIMEOUT_MS: u64 = 2_000;
 /// Time from the end of a leader to the start of its replacement.
 const LEADER_RESTART_DELAY_MS: u64 = 300;
+/// Time from the loss of a link between the leader and a member to a new one.
+const RELINK_DELAY_MS: u64 = 300;
 /// Time that a broken group takes to form again.
 const GROUP_FORM_DURATION_MS: u64 = 120;
 /// Time without a new pass after which each resolving member begins to act.
@@ -73,6 +75,8 @@
     leader: Option<Agent>,
     /// When the leader was told to stop, in milliseconds.
     stop_asked_at_ms: Option<u64>,
+    /// The member whose link to the leader is lost, and when it is back.
+    lost_link: Option<(usize, u64)>,
     leader_restart_at_ms: u64,
     /// The resolving members that act now, in the order of [`RESOLVE_AFTER_MS`].
     resolvers: Vec<Option<Resolver>>,
@@ -101,6 +105,7 @@
             last_pass_at_ms: 0,
             leader: Some(Agent::new(RANKS, mutation)),
             stop_asked_at_ms: None,
+            lost_link: None,
             leader_restart_at_ms: 0,
             resolvers: RESOLVE_AFTER_MS.map(|_| None).into(),
             orders: BTreeMap::new(),
@@ -164,6 +169,10 @@
         if self.leader.is_none() && self.now_ms >= self.leader_restart_at_ms {
             self.leader = Some(Agent::new(RANKS, self.mutation));
         }
+        if self.lost_link.is_none() && self.occurs(self.faults.unlink_interval_ms) {
+            self.lose_link();
+        }
+        self.regain_link();
         if self.occurs(self.faults.break_interval_ms) {
             self.epoch += 1;
             self.formed_at_ms = self.now_ms + GROUP_FORM_DURATION_MS;
@@ -172,6 +181,26 @@
         }
     }
 
+    /// Cuts the link between the leader and a random member.
+    fn lose_link(&mut self) {
+        let rank = self.rng.random_range(1..RANKS);
+        let now = self.now();
+        if let Some(leader) = &mut self.leader {
+            leader.lose_link(now, rank);
+            self.lost_link = Some((rank, self.now_ms + RELINK_DELAY_MS));
+        }
+    }
+
+    fn regain_link(&mut self) {
+        let Some((rank, _)) = self.lost_link.filter(|(_, at_ms)| self.now_ms >= *at_ms) else {
+            return;
+        };
+        self.lost_link = None;
+        if let Some(leader) = &mut self.leader {
+            leader.regain_link(rank);
+        }
+    }
+
     /// Schedules the replacement of a leader that has ended.
     fn end_leader(&mut self, leader: &Agent) {
         self.killed_leader_switches += leader.switches;
--- a/crates/faults/tests/hold_switch.rs
+++ b/crates/faults/tests/hold_switch.rs
@@ -42,6 +42,11 @@
             late: 0.3,
             ..none
         },
+        HoldFaults {
+            unlink_interval_ms: 500,
+            late: 0.3,
+            ..none
+        },
         HoldFaults {
             break_interval_ms: 900,
             late: 0.3,
@@ -55,6 +60,7 @@
             freeze_interval_ms: 1_500,
             kill_interval_ms: 1_500,
             stop_interval_ms: 1_500,
+            unlink_interval_ms: 1_500,
             break_interval_ms: 2_500,
             ..none
         },
@@ -132,6 +138,22 @@
     );
 }
 
+#[test]
+fn a_member_whose_agent_ends_delays_no_pass() {
+    for seed in 0..SEEDS {
+        let faults = HoldFaults {
+            unlink_interval_ms: 100,
+            ..HoldFaults::none(seed)
+        };
+        let report = run_hold_switch(faults, None);
+        assert_eq!(report.mixed_map_passes, 0, "{report:?}");
+        assert!(
+            report.longest_hold_ms < MAX_UNDISTURBED_HOLD_MS,
+            "{report:?}"
+        );
+    }
+}
+
 /// Returns whether some run with the mutation begins a pass with two maps.
 fn is_detected(mutation: HoldMutation) -> bool {
     (0..SEEDS)
--- a/src/rank/leader.rs
+++ b/src/rank/leader.rs
@@ -31,6 +31,7 @@
 use wisteriawick_core::maps::plan_copies;
 use wisteriawick_core::time::SharedClock;
 use wisteriawick_core::time::unix_millis;
+use wisteriawick_platform::EngineState;
 use wisteriawick_platform::Freshness;
 use wisteriawick_platform::RunnerApi;
 use wisteriawick_platform::StoreClient;
@@ -177,7 +178,8 @@
         let mut stopping = None;
         let (events_tx, mut events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
         let mut counts = self.member.counts();
-        let mut leadership = Leadership::new(&own, self.settings.runner, self.clock.now());
+        let mut leadership =
+            Leadership::new(&own, self.settings.runner, events_tx, self.clock.now());
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         self.update_own(&mut leadership, &own);
@@ -211,7 +213,7 @@
                     self.log_pace(&mut leadership);
                     if stopping.is_none() {
                         tokio::select! {
-                            () = self.refresh(&mut leadership, &events_tx, &links_end) => {}
+                            () = self.refresh(&mut leadership, &links_end) => {}
                             () = stop.cancelled() => {}
                         }
                     }
@@ -277,6 +279,15 @@
                 leadership.links.remove(&rank);
                 self.handle_input(leadership, HoldInput::Lost(rank));
             }
+            PeerEvent::ArmedDirectly { rank, view } => {
+                leadership.arming_directly.remove(&rank);
+                // The report may be older than one that a new link has brought.
+                if let Some(view) = view
+                    && !leadership.links.contains_key(&rank)
+                {
+                    self.handle_input(leadership, HoldInput::View(rank, view));
+                }
+            }
             PeerEvent::Message { rank, message } => match message {
                 MemberMessage::View(view) => {
                     self.handle_input(leadership, HoldInput::View(rank, view.into()));
@@ -340,7 +351,7 @@
         }
     }
 
-    fn send_order(&self, leadership: &Leadership, rank: usize, message: OrderMessage) {
+    fn send_order(&self, leadership: &mut Leadership, rank: usize, message: OrderMessage) {
         if rank == 0 {
             // If the queue is full, earlier orders are under way; the switch
             // sends this one again.
@@ -355,23 +366,35 @@
         }
     }
 
-    /// Arms a rank whose agent is not linked, so that a held group can continue.
-    /// Ignores other orders.
-    fn arm_directly(&self, leadership: &Leadership, rank: usize, message: OrderMessage) {
+    /// Arms a rank whose agent is not linked, so that a held group can continue, and
+    /// reports its state. Ignores other orders, and all orders during an attempt.
+    fn arm_directly(&self, leadership: &mut Leadership, rank: usize, message: OrderMessage) {
         let Some(runner) = leadership.runners[rank] else {
             return;
         };
         let epoch = message.epoch;
         let order = RankOrder::from(message);
-        if !matches!(order, RankOrder::Arm { .. }) {
+        if !matches!(order, RankOrder::Arm { .. }) || !leadership.arming_directly.insert(rank) {
             return;
         }
         let log = self.log.clone();
+        let events = leadership.events.clone();
+        let group = leadership.group.clone();
         tokio::spawn(async move {
             let mut api = RunnerApi::new(runner);
-            let outcome = execute_order(&mut api, epoch, &order, |_| {}).await;
+            let mut view = None;
+            let on_state = |state: &EngineState| {
+                // The runner at this address may have another position by now.
+                let own = state.rank.as_ref();
+                view = own
+                    .filter(|own| own.rank == rank && own.group == group)
+                    .map(|own| own.view.clone());
+            };
+            let outcome = execute_order(&mut api, epoch, &order, on_state).await;
             let fields = json!({"rank": rank, "result": format!("{outcome:?}")});
             log.line(EventCategory::Failure, "armed_without_agent", fields);
+            // This fails only if the leader has ended.
+            let _ = events.send(PeerEvent::ArmedDirectly { rank, view }).await;
         });
     }
 
@@ -511,12 +534,7 @@
     }
 
     /// Reads the store if that is due and no order is urgent.
-    async fn refresh(
-        &mut self,
-        leadership: &mut Leadership,
-        events: &mpsc::Sender<PeerEvent>,
-        links_end: &CancellationToken,
-    ) {
+    async fn refresh(&mut self, leadership: &mut Leadership, links_end: &CancellationToken) {
         let now = self.clock.now();
         let due = leadership
             .refreshed_at
@@ -525,7 +543,7 @@
             return;
         }
         leadership.refreshed_at = Some(now);
-        if let Err(e) = self.read_store(leadership, events, links_end).await {
+        if let Err(e) = self.read_store(leadership, links_end).await {
             let fields = json!({"error": e.to_string()});
             self.log.line(EventCategory::Failure, "store_lost", fields);
         }
@@ -536,7 +554,6 @@
     async fn read_store(
         &mut self,
         leadership: &mut Leadership,
-        events: &mpsc::Sender<PeerEvent>,
         links_end: &CancellationToken,
     ) -> Result<(), wisteriawick_platform::StoreError> {
         if self.layout.is_none() {
@@ -560,7 +577,7 @@
             for runner in listing.items {
                 if Some(&runner.service) == service && Some(runner.address) != self.settings.runner
                 {
-                    self.dial(leadership, runner.address, events, links_end);
+                    self.dial(leadership, runner.address, links_end);
                 }
             }
         }
@@ -568,13 +585,7 @@
     }
 
     /// Starts a task that keeps up the link to the agent beside a runner.
-    fn dial(
-        &self,
-        leadership: &mut Leadership,
-        runner: SocketAddr,
-        events: &mpsc::Sender<PeerEvent>,
-        links_end: &CancellationToken,
-    ) {
+    fn dial(&self, leadership: &mut Leadership, runner: SocketAddr, links_end: &CancellationToken) {
         if leadership.dialers.contains_key(&runner) {
             return;
         }
@@ -585,7 +596,7 @@
             agent,
             runner,
             group: leadership.group.clone(),
-            events: events.clone(),
+            events: leadership.events.clone(),
             log: self.log.clone(),
         };
         tokio::spawn(dialer.run(stop));
--- a/src/rank/leader/leadership.rs
+++ b/src/rank/leader/leadership.rs
@@ -7,6 +7,7 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::collections::HashMap;
+use wisteriawick_core::collections::HashSet;
 use wisteriawick_core::maps::ExpertMap;
 use wisteriawick_core::maps::HoldSwitch;
 use wisteriawick_core::maps::MapNumber;
@@ -14,6 +15,7 @@
 use crate::rank::counts::CountWindow;
 use crate::rank::member::OwnRank;
 use crate::rank::passes::PassTimes;
+use crate::rank::peers::PeerEvent;
 use crate::rank::wire::ExpertsWire;
 use crate::rank::wire::LeaderMessage;
 use crate::rank::wire::LoadWire;
@@ -26,6 +28,10 @@
     pub(super) counts: CountWindow,
     /// Links to the agents of the other ranks, by rank.
     pub(super) links: HashMap<usize, MemberLink>,
+    /// Receives the events of the links.
+    pub(super) events: mpsc::Sender<PeerEvent>,
+    /// Ranks that are being armed without a link.
+    pub(super) arming_directly: HashSet<usize>,
     /// The experts that each rank holds, by rank.
     pub(super) experts: Vec<Option<ExpertsWire>>,
     /// Tasks that keep up links, by the address of the runner beside the agent.
@@ -46,7 +52,12 @@
 }
 
 impl Leadership {
-    pub(super) fn new(own: &OwnRank, runner: Option<SocketAddr>, now: Instant) -> Self {
+    pub(super) fn new(
+        own: &OwnRank,
+        runner: Option<SocketAddr>,
+        events: mpsc::Sender<PeerEvent>,
+        now: Instant,
+    ) -> Self {
         let mut runners = vec![None; own.state.size];
         runners[0] = runner;
         Self {
@@ -55,6 +66,8 @@
             switch: HoldSwitch::new(own.state.size),
             counts: CountWindow::default(),
             links: HashMap::default(),
+            events,
+            arming_directly: HashSet::default(),
             experts: vec![None; own.state.size],
             dialers: HashMap::default(),
             planned_at: now,
--- a/src/rank/peers.rs
+++ b/src/rank/peers.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
+use wisteriawick_core::maps::RankView;
 
 use crate::eventlog::EventCategory;
 use crate::eventlog::EventLog;
@@ -50,6 +51,13 @@
         /// What the member sent.
         message: MemberMessage,
     },
+    /// An attempt to arm a rank without a link ended.
+    ArmedDirectly {
+        /// The rank.
+        rank: usize,
+        /// The state that its runner reported last, if any.
+        view: Option<RankView>,
+    },
     /// The link to a member ended.
     Down {
         /// Rank of the member that is no longer linked.
