An entry's link to a leader ends when the agent no longer leads

If the runner of rank 0 got another rank or group, entries stayed linked to its agent without receiving anything: the link told the position only once. If the agent led another group later, the entries filed its reports under the former group's name.

The end of a leadership now wakes the links of entries, and a link ends if the position it began with has changed; the entry dials again and learns the new one.

--- a/src/rank/leader.rs
+++ b/src/rank/leader.rs
@@ -154,6 +154,7 @@
                 let fields = json!({"group": own.state.group, "size": own.state.size});
                 self.log.line(EventCategory::State, "leads", fields);
                 self.lead(own, &stop).await;
+                self.load.send_replace(None);
             }
             if stop.is_cancelled() {
                 return;
--- a/src/rank/link.rs
+++ b/src/rank/link.rs
@@ -121,7 +121,8 @@
 }
 
 /// Sends an entry this agent's position in its group and, while the agent leads,
-/// the group's load and the number of linked entries.
+/// the group's load and the number of linked entries. Returns when the agent's position
+/// has changed, so that the entry dials again and learns the new one.
 async fn serve_entry(
     mut link: Link,
     member: MemberHandle,
@@ -133,7 +134,7 @@
     };
     let position = PositionWire::from(&own.state);
     let leads = position.rank == 0;
-    link.send(&GroupMessage::Position(position)).await?;
+    link.send(&GroupMessage::Position(position.clone())).await?;
     if !leads {
         return Ok(());
     }
@@ -151,9 +152,19 @@
         }
         tokio::time::sleep(MIN_LOAD_REPORT_INTERVAL).await;
         group.load.changed().await.map_err(std::io::Error::other)?;
+        if !has_position(&member, &position) {
+            return Ok(());
+        }
     }
 }
 
+/// Returns whether this agent's rank still has a position.
+fn has_position(member: &MemberHandle, position: &PositionWire) -> bool {
+    let own = member.own.borrow();
+    own.as_ref()
+        .is_some_and(|own| PositionWire::from(&own.state) == *position)
+}
+
 /// Counts a linked entry until it is dropped.
 struct EntryGuard(Arc<AtomicU16>);
 
