Connections of requests that run once are not kept idle

Cause: each such request opens a connection of its own, and after its response that connection was kept idle. Only lookups use idle connections, and there are fewer of them, so idle ones piled up at the runners until these reset new ones beyond their limit. A request on a connection that is reset may have run.

Change: a connection goes back to the pool only if requests that may run again use it.

Result: connections_of_requests_that_run_once_are_not_kept failed (20 connections open a second later) and passes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -336,7 +336,9 @@
         _ => RunnerOutcome::Served,
     });
     let state = &exchange.state;
-    if !head.closes_connection {
+    // Only requests that may run again use idle connections. Those of other requests
+    // would pile up until the runner resets new ones.
+    if !head.closes_connection && exchange.route_match.route.may_run_again() {
         state
             .upstreams
             .put_idle(state.now(), upstream, head.keep_alive);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -186,7 +186,7 @@
         };
         let state = &self.exchange.state;
         source.slot.set_outcome(RunnerOutcome::Served);
-        if !source.head.closes_connection {
+        if !source.head.closes_connection && self.exchange.route_match.route.may_run_again() {
             state
                 .upstreams
                 .put_idle(state.now(), source.upstream, source.head.keep_alive);
