--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -152,7 +152,14 @@
     /// late.
     fn count_event(&mut self) {
         self.event_count += 1;
-        let cause = match self.latency.record_event(self.exchange.state.now()) {
+        let exchange = &self.exchange;
+        if let Some(source) = &self.source {
+            let runner = &source.slot.runner.id;
+            exchange
+                .state
+                .record_sign_of_life(&exchange.service, runner);
+        }
+        let cause = match self.latency.record_event(exchange.state.now()) {
             None => return,
             Some(LateCause::FirstEvent) => "first event",
             Some(LateCause::EventGap) => "pause",
@@ -179,7 +186,7 @@
         };
         let state = &self.exchange.state;
         source.slot.set_outcome(RunnerOutcome::Served);
-        if !source.head.closes_connection {
+        if !source.head.closes_connection && self.exchange.route_match.route.may_run_again() {
             state
                 .upstreams
                 .put_idle(state.now(), source.upstream, source.head.keep_alive);
