A hosted process handles its signals before it reads its settings

Change: the handlers are registered first.

Result: process_that_is_starting_survives_sighup fails with the registration after the settings are read and passes.

--- a/src/command.rs
+++ b/src/command.rs
@@ -9,6 +9,7 @@
 mod operator;
 mod output;
 pub mod run;
+mod signals;
 pub mod status;
 pub mod ticket;
 pub mod timeline;
--- a/src/command/hosted.rs
+++ b/src/command/hosted.rs
@@ -8,8 +8,8 @@
 use std::sync::Arc;
 
 use serde_json::json;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::hosting::HostSettings;
 use wisteriawick_core::time::SharedClock;
@@ -17,7 +17,8 @@
 use wisteriawick_platform::SETTINGS_VARIABLE;
 use wisteriawick_platform::read_settings;
 
-use crate::command::run::wait_for_stop_signal;
+use crate::command::signals::StopSignals;
+use crate::command::signals::register;
 use crate::error::Error;
 use crate::error::Result;
 use crate::eventlog::EventCategory;
@@ -26,6 +27,21 @@
 use crate::rank;
 use crate::telemetry;
 
+/// The signals that a hosted process handles.
+struct Signals {
+    stop: StopSignals,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn register() -> Result<Self> {
+        Ok(Self {
+            stop: StopSignals::register()?,
+            hangup: register(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// What the role of a hosted process needs to run.
 struct HostedContext {
     settings: HostSettings,
@@ -58,12 +74,14 @@
 /// Reads the settings and starts what both roles need: the event log, the signal
 /// handlers and, if a port is given, the export of metrics.
 async fn prepare(metrics_port: Option<u16>) -> Result<HostedContext> {
+    // A signal that arrives before its handler is registered ends the process.
+    let signals = Signals::register()?;
     let path = settings_path()?;
     let settings = read_settings(&path).map_err(|e| Error::Other(e.to_string()))?;
     let clock: SharedClock = Arc::new(SystemClock);
     let log = EventLog::start(settings.name.as_str(), Arc::clone(&clock));
     let stop = CancellationToken::new();
-    tokio::spawn(cancel_on_signal(stop.clone(), log.clone()));
+    tokio::spawn(cancel_on_signal(signals.stop, stop.clone(), log.clone()));
     if let Some(port) = metrics_port
         && let Some(handle) = telemetry::init_with_buckets()
     {
@@ -71,6 +89,7 @@
         tokio::spawn(telemetry::serve(listener, handle, CancellationToken::new()));
     }
     tokio::spawn(check_settings_on_hangup(
+        signals.hangup,
         path,
         settings.clone(),
         log.clone(),
@@ -92,15 +111,8 @@
         })
 }
 
-async fn cancel_on_signal(stop: CancellationToken, log: EventLog) {
-    if let Err(e) = wait_for_stop_signal().await {
-        log.line(
-            EventCategory::Failure,
-            "no_signals",
-            json!({"error": e.to_string()}),
-        );
-        return;
-    }
+async fn cancel_on_signal(mut signals: StopSignals, stop: CancellationToken, log: EventLog) {
+    signals.recv().await;
     log.line(EventCategory::State, "stop_asked", json!({}));
     stop.cancel();
 }
@@ -108,11 +120,12 @@
 /// Reads the settings file again on each SIGHUP and logs whether it is valid and
 /// whether it differs from the settings in use. A running process doesn't change its
 /// settings: a difference takes effect at the next start.
-async fn check_settings_on_hangup(path: PathBuf, current: HostSettings, log: EventLog) {
-    let Ok(mut hangups) = signal(SignalKind::hangup()) else {
-        log.line(EventCategory::Failure, "no_signals", json!({}));
-        return;
-    };
+async fn check_settings_on_hangup(
+    mut hangups: Signal,
+    path: PathBuf,
+    current: HostSettings,
+    log: EventLog,
+) {
     while hangups.recv().await.is_some() {
         match read_settings(&path) {
             Ok(read) if read == current => {
--- a/tests/hosted_process.rs
+++ b/tests/hosted_process.rs
@@ -1,5 +1,6 @@
 //! A hosted entry as a process: what its log holds when it has ended.
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Child;
@@ -45,9 +46,12 @@
         .expect("the process accepts connections");
 }
 
-fn start_entry(settings: &Path, callers: SocketAddr, store: SocketAddr) -> Process {
-    let text = entry_settings("entry-test", callers, free_address(), store);
-    std::fs::write(settings, text).expect("the settings file is written");
+fn signal(process: &Process, signal: Signal) {
+    let pid = Pid::from_raw(process.0.id() as i32).expect("a process id");
+    kill_process(pid, signal).expect("the process runs");
+}
+
+fn start_entry(settings: &Path) -> Process {
     let child = Command::new(env!("CARGO_BIN_EXE_wisteriawick"))
         .arg("entry")
         .env(SETTINGS_VARIABLE, settings)
@@ -58,16 +62,44 @@
     Process(child)
 }
 
+/// A process that is starting reads its settings, here from a pipe, when the signal
+/// arrives.
+#[tokio::test(flavor = "multi_thread")]
+async fn process_that_is_starting_survives_sighup() {
+    let teardown = CancellationToken::new();
+    let store = Store::start(teardown.clone()).await.expect("loopback");
+    let name = format!("wisteriawick-{}.pipe", std::process::id());
+    let pipe = std::env::temp_dir().join(name);
+    let made = Command::new("mkfifo").arg(&pipe).status();
+    assert!(made.expect("mkfifo runs").success());
+    let mut process = start_entry(&pipe);
+    let opened = pipe.clone();
+    let opened = tokio::task::spawn_blocking(move || std::fs::File::create(opened));
+    let mut settings = opened.await.expect("no panic").expect("the pipe opens");
+    signal(&process, Signal::HUP);
+    let callers = free_address();
+    let text = entry_settings("entry-test", callers, free_address(), store.address());
+    settings
+        .write_all(text.as_bytes())
+        .expect("the pipe is read");
+    drop(settings);
+    wait_until_it_accepts(callers).await;
+    assert!(process.0.try_wait().expect("a child").is_none());
+    std::fs::remove_file(pipe).expect("the pipe exists");
+    teardown.cancel();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn last_line_of_a_stopped_process_is_written() {
     let teardown = CancellationToken::new();
     let store = Store::start(teardown.clone()).await.expect("loopback");
     let file = std::env::temp_dir().join(format!("wisteriawick-{}.toml", std::process::id()));
     let callers = free_address();
-    let mut process = start_entry(&file, callers, store.address());
+    let text = entry_settings("entry-test", callers, free_address(), store.address());
+    std::fs::write(&file, text).expect("the settings file is written");
+    let mut process = start_entry(&file);
     wait_until_it_accepts(callers).await;
-    let pid = Pid::from_raw(process.0.id() as i32).expect("a process id");
-    kill_process(pid, Signal::TERM).expect("the process runs");
+    signal(&process, Signal::TERM);
     let stdout = process.0.stdout.take().expect("piped");
     let read = tokio::task::spawn_blocking(move || std::io::read_to_string(stdout));
     let log = read.await.expect("no panic").expect("UTF-8");
