Requests that are given up count for the expected time

Cause: only requests that ended well were recorded. Where streams are so slow that none ends in time, the estimate was zero and everything was taken; quick error responses lowered it, and requests without a number of tokens distorted the time a token.

Change: requests that time out are recorded too, error responses are not, and the time a token comes only from requests that said a number.

--- a/crates/core/src/gateway/response_times.rs
+++ b/crates/core/src/gateway/response_times.rs
@@ -25,20 +25,24 @@
 struct Sample {
     /// Time until the first byte of the response.
     first: Duration,
-    /// Time from then to its end, divided by the tokens that the caller asked for.
-    per_token: Duration,
+    /// Time from then to its end.
+    rest: Duration,
+    /// Most tokens that the response could have, if the caller said so.
+    tokens: Option<u32>,
 }
 
 impl ResponseTimes {
-    /// Records a request that ended: the time until the first byte of its response, the
-    /// time from then to the end, and the most tokens that the response could have.
+    /// Records a request that ended, or that was given up because it took too long: the
+    /// time until the first byte of its response, the time from then to the end, and the
+    /// most tokens that the response could have.
     pub fn record(&mut self, first: Duration, rest: Duration, tokens: Option<u32>) {
         if self.recent.len() == MAX_SAMPLES {
             self.recent.pop_front();
         }
         self.recent.push_back(Sample {
             first,
-            per_token: rest / tokens_or_one(tokens),
+            rest,
+            tokens: tokens.filter(|tokens| *tokens > 0),
         });
     }
 
@@ -46,18 +50,24 @@
     /// end; zero if none has ended yet.
     pub fn expected(&self, tokens: Option<u32>) -> Duration {
         let first = quantile(self.recent.iter().map(|sample| sample.first));
-        let per_token = quantile(self.recent.iter().map(|sample| sample.per_token));
-        (first + per_token * tokens_or_one(tokens)).mul_f64(SAFETY_FACTOR)
+        let rest = self.expected_rest(tokens).unwrap_or_else(|| {
+            quantile(self.recent.iter().map(|sample| sample.rest)).unwrap_or_default()
+        });
+        (first.unwrap_or_default() + rest).mul_f64(SAFETY_FACTOR)
     }
-}
 
-fn tokens_or_one(tokens: Option<u32>) -> u32 {
-    tokens.unwrap_or(1).max(1)
+    /// Returns the time after the first byte by the number of tokens; `None` if that
+    /// number is not known of this request or of earlier ones.
+    fn expected_rest(&self, tokens: Option<u32>) -> Option<Duration> {
+        let per_token = |sample: &Sample| Some(sample.rest / sample.tokens?);
+        let per_token = quantile(self.recent.iter().filter_map(per_token))?;
+        Some(per_token * tokens?)
+    }
 }
 
-fn quantile(times: impl Iterator<Item = Duration>) -> Duration {
+fn quantile(times: impl Iterator<Item = Duration>) -> Option<Duration> {
     let mut times: Vec<_> = times.collect();
     times.sort_unstable();
     let index = (times.len() as f64 * QUANTILE) as usize;
-    times.get(index).copied().unwrap_or_default()
+    times.get(index).copied()
 }
--- a/crates/core/tests/gateway_stop.rs
+++ b/crates/core/tests/gateway_stop.rs
@@ -79,3 +79,15 @@
     assert!(short >= ms(700) && short < ms(1_000), "{short:?}");
     assert!(long >= ms(4_200) && long < ms(6_000), "{long:?}");
 }
+
+#[test]
+fn requests_without_a_number_of_tokens_do_not_change_the_time_a_token() {
+    let mut times = ResponseTimes::default();
+    times.record(ms(100), ms(1_000), Some(100));
+    let before = times.expected(Some(400));
+    for _ in 0..10 {
+        times.record(ms(100), ms(1_000), None);
+    }
+    assert_eq!(times.expected(Some(400)), before);
+    assert!(times.expected(None) >= ms(1_100));
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -496,7 +496,9 @@
             false => "failed by runner",
         });
         self.record_latency();
-        self.record_times(self.age(), Duration::ZERO);
+        if status.is_success() {
+            self.record_times(self.age(), Duration::ZERO);
+        }
         response(status, buffered.headers, full_body(buffered.body))
     }
 
@@ -526,6 +528,7 @@
         if attempts.is_in_flight || attempts.retry.may_have_run {
             match due {
                 Due::Deadline => {
+                    self.record_times(self.age(), Duration::ZERO);
                     self.count_outcome("timed out");
                     self.log(EventCategory::Failure, "timed_out", json!({"sent": true}));
                 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -98,6 +98,7 @@
                     json!({"events": self.event_count}),
                 );
                 exchange.count_outcome("timed out");
+                self.record_times();
                 self.source = None;
                 Some(Err(std::io::ErrorKind::TimedOut.into()))
             }
@@ -179,6 +180,14 @@
             .log(EventCategory::Failure, "stream_late", fields);
     }
 
+    /// Records how long the stream took; returns the time to its first event.
+    fn record_times(&self) -> Duration {
+        let first = self.latency.time_to_first_event().unwrap_or_default();
+        let rest = self.exchange.age().saturating_sub(first);
+        self.exchange.record_times(first, rest);
+        first
+    }
+
     /// Completes a stream that ended normally and returns its connection to the pool.
     fn finish(&mut self) {
         let Some(mut source) = self.source.take() else {
@@ -192,9 +201,7 @@
                 .put_idle(state.now(), source.upstream, source.head.keep_alive);
         }
         lock(&state.crash_tracker).clear(self.exchange.fingerprint);
-        let first = self.latency.time_to_first_event().unwrap_or_default();
-        let rest = self.exchange.age().saturating_sub(first);
-        self.exchange.record_times(first, rest);
+        let first = self.record_times();
         let fields = json!({
             "events": self.event_count,
             "first_ms": first.as_millis() as u64,
