A caller may pause reading its response for ten seconds

Cause: callers' sockets had the user timeout of connections to runners, one second, which also counts the time for which the peer does not read.

Change: the timeout is given by the user of the socket, ten seconds for callers. One that is gone is noticed by keepalive probes, or by its deadline.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -31,6 +31,7 @@
 use crate::gateway::state::GatewayState;
 
 pub(crate) use listen::bind;
+pub(crate) use upstream::PEER_USER_TIMEOUT;
 pub(crate) use upstream::enable_dead_peer_detection;
 
 /// Serves callers until `stop` is cancelled and then all requests have finished
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -45,6 +45,9 @@
 
 /// Length of the accept queue. A full queue delays callers by seconds.
 const BACKLOG: u32 = 1024;
+/// How long a caller may stop reading its response before the connection is broken. A
+/// caller that is gone is noticed sooner by keepalive probes, unless data is on its way.
+const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for streams to end that are cut off.
 const CUT_OFF_TIME: Duration = Duration::from_millis(50);
 /// Factor by which the actual idle timeout exceeds the declared one. A caller that
@@ -158,7 +161,7 @@
 }
 
 async fn serve_connection(stream: TcpStream, state: Arc<GatewayState>, close: CancellationToken) {
-    if enable_dead_peer_detection(&stream).is_err() {
+    if enable_dead_peer_detection(&stream, CALLER_USER_TIMEOUT).is_err() {
         return; // The caller has already disconnected.
     }
     let limits = state.declaration().map(|declaration| declaration.limits());
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -28,8 +28,8 @@
 /// TCP resends a lost SYN only after a second, and by then another runner is the
 /// better choice.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
-/// Time after which a connection with unacknowledged data is broken.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time after which a connection to a runner or an agent with unacknowledged data is broken.
+pub(crate) const PEER_USER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Idle time before the first TCP keepalive probe, and between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Longest idle time of a pooled connection if the runner announced none.
@@ -125,7 +125,7 @@
             .await
             .map_err(|e| not_sent(&e))?
             .map_err(|e| not_sent(&e))?;
-        enable_dead_peer_detection(&stream).map_err(|e| not_sent(&e))?;
+        enable_dead_peer_detection(&stream, PEER_USER_TIMEOUT).map_err(|e| not_sent(&e))?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|e| not_sent(&e))?;
@@ -160,8 +160,12 @@
 }
 
 /// Configures a socket to detect a peer that is gone without closing the
-/// connection. Also disables Nagle's algorithm.
-pub(crate) fn enable_dead_peer_detection(stream: &TcpStream) -> std::io::Result<()> {
+/// connection. Also disables Nagle's algorithm. `user_timeout` is how long sent data may
+/// stay unacknowledged, or the peer may not read.
+pub(crate) fn enable_dead_peer_detection(
+    stream: &TcpStream,
+    user_timeout: Duration,
+) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
@@ -169,5 +173,5 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(2);
     socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(user_timeout))
 }
--- a/src/rank/link.rs
+++ b/src/rank/link.rs
@@ -25,6 +25,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::accept;
+use crate::gateway::PEER_USER_TIMEOUT;
 use crate::gateway::enable_dead_peer_detection;
 use crate::rank::member::MemberHandle;
 use crate::rank::member::OwnRank;
@@ -63,7 +64,7 @@
 
 impl Link {
     pub(crate) fn new(stream: TcpStream) -> std::io::Result<Self> {
-        enable_dead_peer_detection(&stream)?;
+        enable_dead_peer_detection(&stream, PEER_USER_TIMEOUT)?;
         let codec = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_MESSAGE_BYTES)
             .new_codec();
