Idle connections to a runner that failed are not used

Cause: after a request there had timed out, the next one went out on another idle connection, which a frozen machine leaves open.

Change: a failure at a runner closes the idle connections to it. A new connection is refused or times out before anything is sent.

--- a/src/gateway/runner_slot.rs
+++ b/src/gateway/runner_slot.rs
@@ -42,6 +42,9 @@
 
 impl Drop for RunnerSlot {
     fn drop(&mut self) {
+        if self.outcome == RunnerOutcome::Failed {
+            self.state.upstreams.close_address(self.runner.address);
+        }
         self.state
             .request_ended(&self.service, &self.runner.id, self.outcome);
     }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -106,6 +106,13 @@
             .push(idle_upstream);
     }
 
+    /// Closes the idle connections to an address whose runner broke a connection or did
+    /// not respond. A request on one of them would be lost in the same way, while a new
+    /// connection shows whether the runner is reached.
+    pub(crate) fn close_address(&self, address: SocketAddr) {
+        lock(&self.idle).remove(&address);
+    }
+
     /// Closes connections that have been idle for too long.
     pub(crate) fn close_idle(&self, now: Instant) {
         lock(&self.idle).retain(|_, connections| {
