A silent attempt is given up only for another runner that has room

Cause: the timeout of an attempt ended it before anything else was at hand.

Change: after its timeout an attempt goes on until another runner has room and the route allows another attempt. A broken connection ends it at once, as before.

--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -339,17 +339,35 @@
         dequeued
     }
 
+    /// Returns whether a runner outside `excluded` could take a request now.
+    pub fn has_room_except(&self, now: Instant, excluded: &[RunnerId]) -> bool {
+        let excludes_ejected = self.excludes_ejected(now);
+        self.runners
+            .values()
+            .any(|runner| self.is_eligible(now, runner, excluded, excludes_ejected))
+    }
+
+    fn is_eligible(
+        &self,
+        now: Instant,
+        runner: &Runner,
+        excluded: &[RunnerId],
+        excludes_ejected: bool,
+    ) -> bool {
+        runner.accepts_requests(now)
+            && !(excludes_ejected && runner.health.is_ejected(now))
+            && self.group_may_be_tried(now, runner)
+            && runner.has_room(now, &self.limits)
+            && !excluded.contains(&runner.listed.id)
+    }
+
     fn select(&mut self, now: Instant, request: &QueuedRequest) -> Option<Selection> {
         let excludes_ejected = self.excludes_ejected(now);
         let mut rng = self.rng.clone();
         let best = self
             .runners
             .values()
-            .filter(|runner| runner.accepts_requests(now))
-            .filter(|runner| !excludes_ejected || !runner.health.is_ejected(now))
-            .filter(|runner| self.group_may_be_tried(now, runner))
-            .filter(|runner| runner.has_room(now, &self.limits))
-            .filter(|runner| !request.excluded.contains(&runner.listed.id))
+            .filter(|runner| self.is_eligible(now, runner, &request.excluded, excludes_ejected))
             .map(|runner| {
                 let spread = match runner.fresh_report(now) {
                     Some(_) => SPREAD_REQUESTS * rng.random::<f64>(),
--- a/crates/core/src/gateway/retry.rs
+++ b/crates/core/src/gateway/retry.rs
@@ -60,6 +60,12 @@
         }
     }
 
+    /// Returns whether the request may be sent to another runner if the attempt in
+    /// flight is given up, apart from the retry budget.
+    pub fn may_move(&self) -> bool {
+        self.may_run_again && self.reached + 1 < self.max_attempts
+    }
+
     /// Records the outcome of an attempt and returns what to do next.
     ///
     /// `spend` takes one retry from the budget and returns whether there was
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -25,6 +25,7 @@
 use wisteriawick_platform::runner_request_headers;
 
 use crate::gateway::exchange::Exchange;
+use crate::gateway::exchange::RequestAttempts;
 use crate::gateway::runner_slot::RunnerSlot;
 use crate::gateway::state::lock;
 use crate::gateway::upstream::SendError;
@@ -36,6 +37,8 @@
 /// Time without a first event after which a stream is retried at another runner,
 /// before its caller disconnects.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Interval at which a silent attempt looks for another runner after its timeout.
+const MOVE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Share of its remaining time after which an idempotent request is retried at
 /// another runner.
 const IDEMPOTENT_TIMEOUT_SHARE: f64 = 0.4;
@@ -113,6 +116,7 @@
 /// the first event of a stream after `last_event`.
 pub(crate) async fn send(
     exchange: &Exchange,
+    attempts: &RequestAttempts,
     mut slot: RunnerSlot,
     last_event: Option<u64>,
 ) -> AttemptResult {
@@ -120,7 +124,7 @@
     let timeout = attempt_timeout(exchange);
     let opening = open_response(exchange, &mut slot, last_event);
     let result = match timeout {
-        Some(timeout) => wait_while_progressing(exchange, &runner, timeout, opening).await,
+        Some(timeout) => wait_unless_movable(exchange, attempts, &runner, timeout, opening).await,
         None => Some(opening.await),
     };
     match result {
@@ -149,27 +153,40 @@
 }
 
 /// Waits for an operation of a runner. Returns `None` if it does not finish within
-/// the timeout while the runner's group makes no progress.
+/// the timeout, the runner's group makes no progress, and another runner could take
+/// over the request.
 ///
 /// If the group makes passes, a stream without events is queued there and the wait
 /// continues. Retrying it at another runner would process its prompt twice and slow
-/// down all other requests, which alone can sustain an overload.
-pub(crate) async fn wait_while_progressing<T>(
+/// down all other requests, which alone can sustain an overload. And as long as no
+/// other runner could respond sooner, giving up would only lose the work begun.
+pub(crate) async fn wait_unless_movable<T>(
     exchange: &Exchange,
+    attempts: &RequestAttempts,
     runner: &RunnerId,
     timeout: Duration,
     operation: impl Future<Output = T>,
 ) -> Option<T> {
     tokio::pin!(operation);
+    let mut wait = timeout;
     loop {
-        match tokio::time::timeout(timeout, operation.as_mut()).await {
+        match tokio::time::timeout(wait, operation.as_mut()).await {
             Ok(done) => return Some(done),
             Err(_) if exchange.state.is_making_progress(&exchange.service, runner) => {}
+            Err(_) if !may_move(exchange, attempts, runner) => {}
             Err(_) => return None,
         }
+        wait = MOVE_CHECK_INTERVAL;
     }
 }
 
+/// Returns whether another runner could take over the request.
+fn may_move(exchange: &Exchange, attempts: &RequestAttempts, runner: &RunnerId) -> bool {
+    let mut excluded = attempts.excluded.clone();
+    excluded.push(runner.clone());
+    attempts.retry.may_move() && exchange.state.has_room_except(&exchange.service, &excluded)
+}
+
 /// Returns how long to wait for this attempt before the request is retried at
 /// another runner; `None` waits until the request's deadline.
 fn attempt_timeout(exchange: &Exchange) -> Option<Duration> {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -267,7 +267,7 @@
         let runner = slot.runner.id.clone();
         attempts.is_in_flight = true;
         let last_event = exchange.caller.last_event_id;
-        let result = attempt::send(exchange, slot, last_event).await;
+        let result = attempt::send(exchange, attempts, slot, last_event).await;
         attempts.is_in_flight = false;
         let failed = match result {
             AttemptResult::Buffered(response) => return exchange.forward(response, &runner),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -125,7 +125,7 @@
     async fn next_or_resume(&mut self) -> Option<std::io::Result<Bytes>> {
         loop {
             let source = self.source.as_mut()?;
-            match read_event(&self.exchange, source).await {
+            match read_event(&self.exchange, &self.attempts, source).await {
                 Ok(Some(event)) => {
                     self.count_event();
                     return Some(Ok(event));
@@ -237,7 +237,7 @@
                 return false;
             };
             runner = slot.runner.id.clone();
-            match attempt::send(&self.exchange, slot, last).await {
+            match attempt::send(&self.exchange, &self.attempts, slot, last).await {
                 AttemptResult::Stream(stream) => {
                     let fields = json!({"runner": runner.as_str(), "after": last});
                     self.exchange.log(EventCategory::Failure, "resumed", fields);
@@ -254,6 +254,7 @@
 
 async fn read_event(
     exchange: &Exchange,
+    attempts: &RequestAttempts,
     source: &mut StreamSource,
 ) -> Result<Option<Bytes>, String> {
     if let Some(first) = source.first.take() {
@@ -261,7 +262,7 @@
     }
     let runner = source.slot.runner.id.clone();
     let next = attempt::next_event(&mut source.body, &mut source.splitter, &mut source.sequence);
-    attempt::wait_while_progressing(exchange, &runner, EVENT_TIMEOUT, next)
+    attempt::wait_unless_movable(exchange, attempts, &runner, EVENT_TIMEOUT, next)
         .await
         .unwrap_or_else(|| Err("no event in time".into()))
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -301,6 +301,15 @@
         .unwrap_or(false)
     }
 
+    /// Returns whether a runner outside `excluded` could take a request now.
+    pub(crate) fn has_room_except(&self, service: &ServiceId, excluded: &[RunnerId]) -> bool {
+        let now = self.now();
+        self.with_service(service, |service_state| {
+            service_state.pool.has_room_except(now, excluded)
+        })
+        .unwrap_or(false)
+    }
+
     /// Records that a runner began a response.
     pub(crate) fn response_began(&self, service: &ServiceId, runner: &RunnerId) {
         let now = self.now();
