Slots are taken by what they are for, and released if nobody takes them

- A request that a runner had refused late in a stop was sent to another one at once, ran, and was cut off with 504, though a true 503 was at hand: only queued requests asked whether there was time left.
- A stream older than 1.7 s could never be resumed: the time that its caller waits was counted from the request and not from the last event.
- A slot that was assigned in the moment in which its caller disconnected was lost for good.

Change: acquire_slot is told whether the slot starts a request or resumes a stream, and counts from there; whether there is time left in a stop is asked for every start. A place in the queue that is dropped releases its slot.

--- a/crates/core/src/gateway/stream_latency.rs
+++ b/crates/core/src/gateway/stream_latency.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Returns the time of the last event, or of the request's arrival before the first.
+    pub fn last_at(&self) -> Instant {
+        self.last_at
+    }
+
     /// Records an event. Returns the cause if this event made the stream late.
     pub fn record_event(&mut self, now: Instant) -> Option<LateCause> {
         let was_late = self.is_late();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -18,13 +18,16 @@
 use metrics::counter;
 use metrics::histogram;
 use serde_json::json;
+use tokio::sync::oneshot;
 use wisteriawick_core::gateway::Admission;
 use wisteriawick_core::gateway::AttemptOutcome;
 use wisteriawick_core::gateway::Denied;
 use wisteriawick_core::gateway::NextStep;
 use wisteriawick_core::gateway::QueuedRequest;
+use wisteriawick_core::gateway::QueuedRequestId;
 use wisteriawick_core::gateway::RetryState;
 use wisteriawick_core::gateway::RouteMatch;
+use wisteriawick_core::gateway::RunnerOutcome;
 use wisteriawick_core::gateway::StopSchedule;
 use wisteriawick_core::ids::Fingerprint;
 use wisteriawick_core::ids::RunnerId;
@@ -260,7 +263,7 @@
     attempts: &mut RequestAttempts,
 ) -> Response<Body> {
     loop {
-        let slot = match acquire_slot(exchange, attempts).await {
+        let slot = match acquire_slot(exchange, attempts, SlotUse::Start).await {
             Ok(slot) => slot,
             Err(retry_after) => return exchange.reject(attempts, retry_after),
         };
@@ -332,6 +335,15 @@
     step
 }
 
+/// What a slot is for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum SlotUse {
+    /// To execute the request.
+    Start,
+    /// To resume a stream whose last event came at this time.
+    Resume { last_event_at: Instant },
+}
+
 /// Waits for a slot at a runner.
 ///
 /// # Errors
@@ -340,10 +352,11 @@
 pub(crate) async fn acquire_slot(
     exchange: &Exchange,
     attempts: &RequestAttempts,
+    slot_use: SlotUse,
 ) -> Result<RunnerSlot, Duration> {
     let state = &exchange.state;
     let queue_id = state.next_queue_id();
-    let latest_start = exchange.latest_start();
+    let latest_start = exchange.latest_start(slot_use);
     let request = QueuedRequest {
         queue_id,
         priority: exchange.route_match.priority(),
@@ -355,17 +368,12 @@
         None => return Err(RETRY_AFTER_WAIT),
         Some(Placement::Immediate(admission)) => admission,
         Some(Placement::Queued(queue_id, rx)) => {
-            let _guard = QueueGuard { exchange, queue_id };
-            let decided = tokio::select! {
-                decided = tokio::time::timeout_at(latest_start.into(), rx) => decided,
-                () = state.stop.wait_until_latest_start(|| exchange.expected_time()) => {
-                    return Err(RETRY_AFTER_STOP);
-                }
+            let mut queued = QueuedSlot {
+                exchange,
+                queue_id,
+                rx,
             };
-            match decided {
-                Ok(Ok(admission)) => admission,
-                _ => return Err(RETRY_AFTER_WAIT),
-            }
+            queued.wait(latest_start, slot_use).await?
         }
     };
     match admission {
@@ -379,18 +387,49 @@
     }
 }
 
-/// Removes a request from the queue when its caller disconnects or it is done
-/// waiting.
-struct QueueGuard<'a> {
+/// A request's place in the queue. Dropping it removes the request from the queue, and
+/// releases a slot that was assigned to it and not taken.
+struct QueuedSlot<'a> {
     exchange: &'a Exchange,
-    queue_id: wisteriawick_core::gateway::QueuedRequestId,
+    queue_id: QueuedRequestId,
+    rx: oneshot::Receiver<Admission>,
+}
+
+impl QueuedSlot<'_> {
+    async fn wait(
+        &mut self,
+        latest_start: Instant,
+        slot_use: SlotUse,
+    ) -> Result<Admission, Duration> {
+        let exchange = self.exchange;
+        let too_late = async {
+            match slot_use {
+                SlotUse::Start => {
+                    let stop = &exchange.state.stop;
+                    stop.wait_until_latest_start(|| exchange.expected_time())
+                        .await
+                }
+                SlotUse::Resume { .. } => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            decided = tokio::time::timeout_at(latest_start.into(), &mut self.rx) => match decided {
+                Ok(Ok(admission)) => Ok(admission),
+                _ => Err(RETRY_AFTER_WAIT),
+            },
+            () = too_late => Err(RETRY_AFTER_STOP),
+        }
+    }
 }
 
-impl Drop for QueueGuard<'_> {
+impl Drop for QueuedSlot<'_> {
     fn drop(&mut self) {
-        self.exchange
-            .state
-            .cancel(&self.exchange.service, self.queue_id);
+        let state = &self.exchange.state;
+        let service = &self.exchange.service;
+        state.cancel(service, self.queue_id);
+        if let Ok(Admission::Run(selection)) = self.rx.try_recv() {
+            state.request_ended(service, &selection.runner.id, RunnerOutcome::Abandoned);
+        }
     }
 }
 
@@ -442,16 +481,27 @@
     }
 
     /// Returns the latest time at which sending the request to a runner is useful.
-    fn latest_start(&self) -> Instant {
+    fn latest_start(&self, slot_use: SlotUse) -> Instant {
         let route = &self.route_match.route;
-        if !route.is_streaming {
-            return self.deadline;
+        let caller_waits_from = match slot_use {
+            SlotUse::Start => self.arrived,
+            SlotUse::Resume { last_event_at } => last_event_at,
+        };
+        let latest = match route.is_streaming {
+            true => {
+                let max_event_gap = route.max_event_gap.unwrap_or_default();
+                let caller_timeout = MIN_CALLER_STREAM_TIMEOUT
+                    .max(route.latency_target * 4)
+                    .max(max_event_gap * 8);
+                let event_due = caller_waits_from + caller_timeout;
+                (event_due - FIRST_EVENT_RESERVE).min(self.deadline)
+            }
+            false => self.deadline,
+        };
+        match (slot_use, self.state.stop.schedule()) {
+            (SlotUse::Start, Some(stop)) => latest.min(stop.latest_start(self.expected_time())),
+            _ => latest,
         }
-        let max_event_gap = route.max_event_gap.unwrap_or_default();
-        let caller_timeout = MIN_CALLER_STREAM_TIMEOUT
-            .max(route.latency_target * 4)
-            .max(max_event_gap * 8);
-        (self.arrived + caller_timeout - FIRST_EVENT_RESERVE).min(self.deadline)
     }
 
     /// Writes a log line about this request; routine lines are sampled.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -30,6 +30,7 @@
 use crate::gateway::attempt::StreamSource;
 use crate::gateway::exchange::Exchange;
 use crate::gateway::exchange::RequestAttempts;
+use crate::gateway::exchange::SlotUse;
 use crate::gateway::exchange::acquire_slot;
 use crate::gateway::exchange::next_step;
 use crate::gateway::response::Body;
@@ -233,7 +234,10 @@
             if step != NextStep::Again {
                 return false;
             }
-            let Ok(slot) = acquire_slot(&self.exchange, &self.attempts).await else {
+            let slot_use = SlotUse::Resume {
+                last_event_at: self.latency.last_at(),
+            };
+            let Ok(slot) = acquire_slot(&self.exchange, &self.attempts, slot_use).await else {
                 return false;
             };
             runner = slot.runner.id.clone();
