--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -30,6 +30,7 @@
 use crate::gateway::attempt::StreamSource;
 use crate::gateway::exchange::Exchange;
 use crate::gateway::exchange::RequestAttempts;
+use crate::gateway::exchange::SlotUse;
 use crate::gateway::exchange::acquire_slot;
 use crate::gateway::exchange::next_step;
 use crate::gateway::response::Body;
@@ -98,6 +99,7 @@
                     json!({"events": self.event_count}),
                 );
                 exchange.count_outcome("timed out");
+                self.record_times();
                 self.source = None;
                 Some(Err(std::io::ErrorKind::TimedOut.into()))
             }
@@ -124,7 +126,7 @@
     async fn next_or_resume(&mut self) -> Option<std::io::Result<Bytes>> {
         loop {
             let source = self.source.as_mut()?;
-            match read_event(&self.exchange, source).await {
+            match read_event(&self.exchange, &self.attempts, source).await {
                 Ok(Some(event)) => {
                     self.count_event();
                     return Some(Ok(event));
@@ -179,6 +181,14 @@
             .log(EventCategory::Failure, "stream_late", fields);
     }
 
+    /// Records how long the stream took; returns the time to its first event.
+    fn record_times(&self) -> Duration {
+        let first = self.latency.time_to_first_event().unwrap_or_default();
+        let rest = self.exchange.age().saturating_sub(first);
+        self.exchange.record_times(first, rest);
+        first
+    }
+
     /// Completes a stream that ended normally and returns its connection to the pool.
     fn finish(&mut self) {
         let Some(mut source) = self.source.take() else {
@@ -192,9 +202,7 @@
                 .put_idle(state.now(), source.upstream, source.head.keep_alive);
         }
         lock(&state.crash_tracker).clear(self.exchange.fingerprint);
-        let first = self.latency.time_to_first_event().unwrap_or_default();
-        let rest = self.exchange.age().saturating_sub(first);
-        self.exchange.record_times(first, rest);
+        let first = self.record_times();
         let fields = json!({
             "events": self.event_count,
             "first_ms": first.as_millis() as u64,
@@ -226,11 +234,14 @@
             if step != NextStep::Again {
                 return false;
             }
-            let Ok(slot) = acquire_slot(&self.exchange, &self.attempts).await else {
+            let slot_use = SlotUse::Resume {
+                last_event_at: self.latency.last_at(),
+            };
+            let Ok(slot) = acquire_slot(&self.exchange, &self.attempts, slot_use).await else {
                 return false;
             };
             runner = slot.runner.id.clone();
-            match attempt::send(&self.exchange, slot, last).await {
+            match attempt::send(&self.exchange, &self.attempts, slot, last).await {
                 AttemptResult::Stream(stream) => {
                     let fields = json!({"runner": runner.as_str(), "after": last});
                     self.exchange.log(EventCategory::Failure, "resumed", fields);
@@ -247,6 +258,7 @@
 
 async fn read_event(
     exchange: &Exchange,
+    attempts: &RequestAttempts,
     source: &mut StreamSource,
 ) -> Result<Option<Bytes>, String> {
     if let Some(first) = source.first.take() {
@@ -254,7 +266,7 @@
     }
     let runner = source.slot.runner.id.clone();
     let next = attempt::next_event(&mut source.body, &mut source.splitter, &mut source.sequence);
-    attempt::wait_while_progressing(exchange, &runner, EVENT_TIMEOUT, next)
+    attempt::wait_unless_movable(exchange, attempts, &runner, EVENT_TIMEOUT, next)
         .await
         .unwrap_or_else(|| Err("no event in time".into()))
 }
