Tests hand bound listeners over and give processes addresses of their own

Seen at: faulty_response_is_not_relayed_and_a_non_idempotent_request_runs_once failed once beside a busy machine, "127.0.0.1:41225: Address already in use".

Cause: harnesses bound port 0, dropped the socket and let the server bind the port later; any connection or test could get it in between. The stand-in engine had the same gap between a crash and its restart.

Change: - `gateway::run` takes `Listeners`, which `command/hosted.rs` binds from the settings and the tests bind to port 0. Nobody binds twice. - tests/processes.rs, tests/hosted_process.rs and the soak start processes that bind their addresses themselves, again after each restart. No settings or reports of bound ports are needed in the program, and a restarted entry keeps its address. - The engine keeps a bound socket that doesn't listen, so its port stays its own while it is down. It runs in `dev` too, so it stays on 127.0.0.1.

--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -20,6 +20,7 @@
 use rustix::process::kill_process;
 use wisteriawick_platform::SETTINGS_VARIABLE;
 use wisteriawick_platform_standin::entry_settings;
+use wisteriawick_standins::address::own_address;
 
 /// Interval between checks whether a process has exited.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -54,8 +55,8 @@
         dir: &Path,
         store: SocketAddr,
     ) -> std::io::Result<Self> {
-        let caller_address = free_address()?;
-        let readiness_address = free_address()?;
+        let caller_address = own_address();
+        let readiness_address = own_address();
         let settings = dir.join(format!("{name}.toml"));
         std::fs::write(
             &settings,
@@ -166,8 +167,3 @@
         self.kill();
     }
 }
-
-/// Returns a loopback address with a port that is free at the time of the call.
-fn free_address() -> std::io::Result<SocketAddr> {
-    std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()
-}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -9,6 +9,7 @@
 mod chat;
 mod lockstep;
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -20,6 +21,8 @@
 use http::StatusCode;
 use hyper::body::Incoming;
 use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio_util::sync::CancellationToken;
 
 pub use chat::expected_completion;
@@ -28,7 +31,6 @@
 pub use lockstep::StepRecord;
 
 use crate::http_server::Body;
-use crate::http_server::bind;
 use crate::http_server::json as json_response;
 use crate::http_server::response;
 use crate::http_server::serve;
@@ -36,6 +38,9 @@
 /// A prompt that contains this text crashes the engine.
 pub const KILL_PROMPT: &str = "kill-this-engine";
 
+/// Length of the accept queue.
+const BACKLOG: u32 = 1024;
+
 /// The timing of an engine.
 #[derive(Clone, Debug)]
 pub struct EngineConfig {
@@ -91,7 +96,8 @@
         group: Option<(LockstepGroup, usize)>,
         cx: CancellationToken,
     ) -> std::io::Result<Self> {
-        let (listener, addr) = bind(port).await?;
+        let (reservation, addr) = reserve(port)?;
+        let listener = listen(addr)?;
         let engine = Self {
             addr,
             config: Arc::new(config),
@@ -99,7 +105,7 @@
             incarnation: Arc::new(Mutex::new(cx.child_token())),
             group,
         };
-        tokio::spawn(engine.clone().run(listener, cx));
+        tokio::spawn(engine.clone().run(reservation, listener, cx));
         Ok(engine)
     }
 
@@ -137,8 +143,14 @@
         self.state.lock().expect("no holder panics")
     }
 
-    /// Serves one incarnation after another until the token is cancelled.
-    async fn run(self, first_listener: tokio::net::TcpListener, cx: CancellationToken) {
+    /// Serves one incarnation after another until the token is cancelled. Holds the
+    /// reservation of the port meanwhile.
+    async fn run(
+        self,
+        _reservation: TcpSocket,
+        first_listener: TcpListener,
+        cx: CancellationToken,
+    ) {
         let mut listener = first_listener;
         loop {
             let incarnation = self.incarnation.lock().expect("no holder panics").clone();
@@ -153,8 +165,8 @@
                 () = cx.cancelled() => return,
             }
             listener = loop {
-                match bind(self.addr.port()).await {
-                    Ok((listener, _)) => break listener,
+                match listen(self.addr) {
+                    Ok(listener) => break listener,
                     Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
                 }
             };
@@ -181,3 +193,22 @@
         }
     }
 }
+
+/// Binds a loopback port without listening; zero lets the system choose. While the
+/// socket is kept, the system gives the port to nobody else, also between a crash of
+/// the engine and its restart.
+fn reserve(port: u16) -> std::io::Result<(TcpSocket, SocketAddr)> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, port)))?;
+    let addr = socket.local_addr()?;
+    Ok((socket, addr))
+}
+
+/// Listens on an address that is reserved.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
--- a/src/command/hosted.rs
+++ b/src/command/hosted.rs
@@ -23,6 +23,7 @@
 use crate::eventlog::EventCategory;
 use crate::eventlog::EventLog;
 use crate::gateway;
+use crate::gateway::Listeners;
 use crate::rank;
 use crate::telemetry;
 
@@ -42,7 +43,15 @@
 /// Fails when the settings are missing or invalid, or the entry cannot start.
 pub async fn entry(metrics_port: Option<u16>) -> Result<()> {
     let context = prepare(metrics_port).await?;
-    gateway::run(context.settings, context.clock, context.log, context.stop).await
+    let listeners = Listeners::bind(&context.settings).await?;
+    gateway::run(
+        context.settings,
+        listeners,
+        context.clock,
+        context.log,
+        context.stop,
+    )
+    .await
 }
 
 /// Runs a hosted agent until SIGTERM or SIGINT.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -24,34 +24,31 @@
 use wisteriawick_core::hosting::HostSettings;
 use wisteriawick_core::time::SharedClock;
 
-use crate::error::Error;
 use crate::error::Result;
 use crate::eventlog::EventCategory;
 use crate::eventlog::EventLog;
 use crate::gateway::state::GatewayState;
 
+pub use listen::Listeners;
 pub(crate) use listen::bind;
 pub(crate) use upstream::enable_dead_peer_detection;
 
-/// Serves callers until `stop` is cancelled and then all requests have finished
-/// or the grace period is over.
+/// Serves callers on the listeners until `stop` is cancelled and then all requests
+/// have finished or the grace period is over.
 ///
 /// # Errors
 ///
-/// Fails when an address is missing from the settings or cannot be bound.
+/// Fails when the runtime does not take the listeners.
 pub async fn run(
     settings: HostSettings,
+    listeners: Listeners,
     clock: SharedClock,
     log: EventLog,
     stop: CancellationToken,
 ) -> Result<()> {
-    let missing = |name: &str| Error::Other(format!("settings: no {name} address; fill it in"));
-    let callers = settings.callers.ok_or_else(|| missing("callers'"))?;
-    let readiness = settings.readiness.ok_or_else(|| missing("readiness"))?;
+    let (callers, readiness) = listeners.into_tokio()?;
     let state = Arc::new(GatewayState::new(settings, clock, log.clone()));
     let shutdown = CancellationToken::new();
-    let readiness = listen::bind(readiness).await?;
-    let callers = listen::bind(callers).await?;
     log.line(
         EventCategory::State,
         "started",
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -31,6 +31,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use wisteriawick_core::gateway::StopSchedule;
+use wisteriawick_core::hosting::HostSettings;
 use wisteriawick_platform::READINESS_PATH;
 
 use crate::accept;
@@ -72,6 +73,67 @@
     socket.listen(BACKLOG).map_err(describe)
 }
 
+/// The sockets of an entry, bound but not yet served.
+///
+/// Whoever binds them holds the addresses from then on, so nobody else can take one
+/// before [`run`](crate::gateway::run) serves it.
+#[derive(Debug)]
+pub struct Listeners {
+    callers: std::net::TcpListener,
+    readiness: std::net::TcpListener,
+}
+
+impl Listeners {
+    /// Binds the addresses of the settings; port zero lets the system choose.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address is missing from the settings or cannot be bound.
+    pub async fn bind(settings: &HostSettings) -> Result<Self> {
+        Ok(Self {
+            callers: bind_setting("callers'", settings.callers).await?,
+            readiness: bind_setting("readiness", settings.readiness).await?,
+        })
+    }
+
+    /// Returns the address that callers connect to.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system does not tell the address.
+    pub fn caller_address(&self) -> std::io::Result<SocketAddr> {
+        self.callers.local_addr()
+    }
+
+    /// Returns the address of the readiness probe.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system does not tell the address.
+    pub fn readiness_address(&self) -> std::io::Result<SocketAddr> {
+        self.readiness.local_addr()
+    }
+
+    /// Hands the sockets to the current runtime: callers' first, then readiness.
+    pub(crate) fn into_tokio(self) -> Result<(TcpListener, TcpListener)> {
+        let callers = TcpListener::from_std(self.callers).map_err(describe_handover)?;
+        let readiness = TcpListener::from_std(self.readiness).map_err(describe_handover)?;
+        Ok((callers, readiness))
+    }
+}
+
+async fn bind_setting(name: &str, address: Option<SocketAddr>) -> Result<std::net::TcpListener> {
+    let missing = || Error::Other(format!("settings: no {name} address; fill it in"));
+    let listener = bind(address.ok_or_else(missing)?).await?;
+    listener.into_std().map_err(describe_handover)
+}
+
+fn describe_handover(e: std::io::Error) -> Error {
+    Error::Other(format!(
+        "a bound listener cannot be served: {e}; start again"
+    ))
+}
+
 /// Serves callers until `stop`, then finishes what was taken within the grace period.
 pub(crate) async fn serve_callers(
     listener: TcpListener,
--- a/tests/hosted_process.rs
+++ b/tests/hosted_process.rs
@@ -15,6 +15,7 @@
 use wisteriawick_platform::SETTINGS_VARIABLE;
 use wisteriawick_platform_standin::Store;
 use wisteriawick_platform_standin::entry_settings;
+use wisteriawick_standins::address::own_address;
 
 /// Longest time that the process takes to start.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
@@ -29,11 +30,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("an address")
-}
-
 async fn wait_until_it_accepts(address: SocketAddr) {
     let connect = async {
         while TcpStream::connect(address).await.is_err() {
@@ -46,7 +42,7 @@
 }
 
 fn start_entry(settings: &Path, callers: SocketAddr, store: SocketAddr) -> Process {
-    let text = entry_settings("entry-test", callers, free_address(), store);
+    let text = entry_settings("entry-test", callers, own_address(), store);
     std::fs::write(settings, text).expect("the settings file is written");
     let child = Command::new(env!("CARGO_BIN_EXE_wisteriawick"))
         .arg("entry")
@@ -63,7 +59,7 @@
     let teardown = CancellationToken::new();
     let store = Store::start(teardown.clone()).await.expect("loopback");
     let file = std::env::temp_dir().join(format!("wisteriawick-{}.toml", std::process::id()));
-    let callers = free_address();
+    let callers = own_address();
     let mut process = start_entry(&file, callers, store.address());
     wait_until_it_accepts(callers).await;
     let pid = Pid::from_raw(process.0.id() as i32).expect("a process id");
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -16,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 use wisteriawick::command::dev::DEV_OPERATOR_TOKEN;
 use wisteriawick_core::fleet::KeyHash;
+use wisteriawick_standins::address::own_address;
 use wisteriawick_standins::plain::PlainService;
 use wisteriawick_standins::platform::Instance;
 
@@ -29,11 +30,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("an address")
-}
-
 /// Writes a settings file and starts the program with it.
 fn spawn(fixture: &Fixture, role: &str, name: &str, link: SocketAddr, section: &str) -> Process {
     let tls = fixture
@@ -89,8 +85,8 @@
     let plain = PlainService::start("jobs-9".into(), 0, bookings, CancellationToken::new())
         .await
         .expect("a plain service");
-    let (agent_link, entry_link) = (free_address(), free_address());
-    let (http, ops) = (free_address(), free_address());
+    let (agent_link, entry_link) = (own_address(), own_address());
+    let (http, ops) = (own_address(), own_address());
     let section = format!(
         "[agent]\nservice = \"jobs\"\nendpoint_address = \"{}\"\n",
         plain.addr()
