The fault matrix notices the silence of the link that it silences

So the fault was in the matrix's own model: loss was noticed by the message that went missing. In production each link exchanges heartbeats, and one without a reply within 1 s ends it, whatever was sent on it, in either direction (`exchange_heartbeats`). No state machine is changed.

Change: the fault silences the current link as before and schedules LinkLost for that link. Probes, bounds and faults are as they were; never_detecting_a_lost_link_is_detected still finds the mutation. What the model assumes is now held over sockets: a link that has replaced a silent one goes silent in one direction during a keyed call; the call completes, runs once, and all links are replaced within the probes' five seconds.

--- a/crates/faults/src/request_path/inject.rs
+++ b/crates/faults/src/request_path/inject.rs
@@ -46,13 +46,11 @@
                 return false;
             }
             (FaultKind::SilentOneWay, Some(event)) => {
-                self.silence_link(event, false);
-                self.lose_message(event);
+                self.silence(event, false);
                 return false;
             }
             (FaultKind::SilentBothWays, Some(event)) => {
-                self.silence_link(event, true);
-                self.lose_message(event);
+                self.silence(event, true);
                 return false;
             }
             (FaultKind::Killed, _) => {
@@ -121,17 +119,32 @@
         }
     }
 
+    /// Loses a message and silences the link that its sender and receiver have now.
+    ///
+    /// That may be a newer link than the one that the message was sent on.
+    fn silence(&mut self, event: &Event, both: bool) {
+        match event {
+            Event::ToAgent { to, reply_to, .. } => {
+                self.silence_link(reply_to.entry, *to, true, both);
+            }
+            Event::ToEntry { from, reply_to, .. } => {
+                self.silence_link(reply_to.entry, *from, false, both);
+            }
+            Event::Heartbeat { from, entry, .. } => self.silence_link(*entry, *from, false, both),
+            _ => self.lose_message(event),
+        }
+    }
+
     /// Makes a link lose messages without an error, in one direction or both.
-    fn silence_link(&mut self, event: &Event, both: bool) {
-        let (entry, agent, to_agent) = match event {
-            Event::ToAgent { to, reply_to, .. } => (reply_to.entry, *to, true),
-            Event::ToEntry { from, reply_to, .. } => (reply_to.entry, *from, false),
-            Event::Heartbeat { from, entry, .. } => (*entry, *from, false),
-            _ => return,
-        };
+    ///
+    /// The entry notices it whatever is sent on the link, since in production it gets no
+    /// reply to its heartbeats on it.
+    fn silence_link(&mut self, entry: usize, agent: usize, to_agent: bool, both: bool) {
         let link = &mut self.links[entry][agent];
         link.silent_to_agent |= to_agent || both;
         link.silent_to_entry |= !to_agent || both;
+        let number = link.number;
+        self.schedule_link_loss(entry, agent, number);
     }
 
     /// Kills a process and schedules its replacement.
--- a/crates/faults/tests/faults.rs
+++ b/crates/faults/tests/faults.rs
@@ -104,6 +104,117 @@
     }
 }
 
+/// Schedules that once failed.
+///
+/// A link went silent at a message of the link before it, and the silence of the new
+/// link was never noticed.
+const FAILED_SCHEDULES: [(Scenario, [(FaultKind, usize); 3]); 12] = [
+    (
+        Scenario::RunnerLeaves,
+        [
+            (FaultKind::SilentOneWay, 171),
+            (FaultKind::Paused, 36),
+            (FaultKind::Lost, 0),
+        ],
+    ),
+    (
+        Scenario::RunnerLeaves,
+        [
+            (FaultKind::SilentOneWay, 206),
+            (FaultKind::Paused, 36),
+            (FaultKind::Lost, 0),
+        ],
+    ),
+    (
+        Scenario::EntryShutsDown,
+        [
+            (FaultKind::StoreSlow, 0),
+            (FaultKind::SilentOneWay, 149),
+            (FaultKind::Paused, 22),
+        ],
+    ),
+    (
+        Scenario::RunnerLeaves,
+        [
+            (FaultKind::Delayed, 2),
+            (FaultKind::SilentOneWay, 156),
+            (FaultKind::Lost, 0),
+        ],
+    ),
+    (
+        Scenario::RunnerLeaves,
+        [
+            (FaultKind::SilentBothWays, 199),
+            (FaultKind::Paused, 79),
+            (FaultKind::Delayed, 215),
+        ],
+    ),
+    (
+        Scenario::RunnerLeaves,
+        [
+            (FaultKind::SilentOneWay, 164),
+            (FaultKind::Paused, 60),
+            (FaultKind::ResponseLost, 174),
+        ],
+    ),
+    (
+        Scenario::RunnerLeaves,
+        [
+            (FaultKind::Paused, 60),
+            (FaultKind::SilentBothWays, 172),
+            (FaultKind::Reordered, 116),
+        ],
+    ),
+    (
+        Scenario::RunnerLeaves,
+        [
+            (FaultKind::Delayed, 136),
+            (FaultKind::Killed, 5),
+            (FaultKind::SilentBothWays, 194),
+        ],
+    ),
+    (
+        Scenario::RunnerLeaves,
+        [
+            (FaultKind::SilentOneWay, 176),
+            (FaultKind::Paused, 79),
+            (FaultKind::SilentBothWays, 175),
+        ],
+    ),
+    (
+        Scenario::Chat,
+        [
+            (FaultKind::Delayed, 8),
+            (FaultKind::SilentOneWay, 44),
+            (FaultKind::ResponseLost, 56),
+        ],
+    ),
+    (
+        Scenario::RetriedBooking,
+        [
+            (FaultKind::Delayed, 16),
+            (FaultKind::SilentBothWays, 37),
+            (FaultKind::Reordered, 115),
+        ],
+    ),
+    (
+        Scenario::Chat,
+        [
+            (FaultKind::Delayed, 8),
+            (FaultKind::OperatorRace, 73),
+            (FaultKind::SilentBothWays, 45),
+        ],
+    ),
+];
+
+#[test]
+fn schedules_that_once_failed_keep_all_invariants() {
+    for (scenario, faults) in FAILED_SCHEDULES {
+        let faults = faults.map(|(kind, at_step)| Fault { kind, at_step });
+        assert_schedule_keeps_all_invariants(&Schedule { scenario, faults });
+    }
+}
+
 #[test]
 fn same_seed_gives_the_same_schedules() {
     assert_eq!(random_schedules(1), random_schedules(1));
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -2,7 +2,7 @@
 //!
 //! The relay forwards UDP datagrams to one target, and the replies back. A flow is
 //! identified by the address of its client. Existing flows can be blackholed for
-//! good, as when a middlebox loses its connection state; new flows still work.
+//! good, in one direction or both, as when a middlebox loses its connection state; new flows still work.
 
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
@@ -20,7 +20,19 @@
 struct Flow {
     /// Socket that is connected to the target.
     upstream: Arc<UdpSocket>,
-    blackholed: bool,
+    /// Whether datagrams to the target are dropped.
+    drops_requests: bool,
+    /// Whether datagrams from the target are dropped.
+    drops_replies: bool,
+}
+
+/// A direction of a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// From the client to the target.
+    Requests,
+    /// From the target to the client.
+    Replies,
 }
 
 type Flows = Arc<Mutex<HashMap<SocketAddr, Flow>>>;
@@ -73,14 +85,23 @@
 
     /// Drops all further datagrams of the flows that exist now, in both directions.
     pub fn blackhole_flows(&self) {
+        self.blackhole_flows_one_way(Direction::Requests);
+        self.blackhole_flows_one_way(Direction::Replies);
+    }
+
+    /// Drops all further datagrams of the flows that exist now, in one direction.
+    pub fn blackhole_flows_one_way(&self, direction: Direction) {
         for flow in self.flows.lock().expect("no holder panics").values_mut() {
-            flow.blackholed = true;
+            match direction {
+                Direction::Requests => flow.drops_requests = true,
+                Direction::Replies => flow.drops_replies = true,
+            }
         }
     }
 }
 
 /// Returns the upstream socket of a flow, which it creates for a new client; `None`
-/// if the flow is blackholed or no socket is available.
+/// if the flow drops requests or no socket is available.
 async fn upstream_of(
     flows: &Flows,
     client_socket: &Arc<UdpSocket>,
@@ -89,13 +110,14 @@
     cx: &CancellationToken,
 ) -> Option<Arc<UdpSocket>> {
     if let Some(flow) = flows.lock().expect("no holder panics").get(&client) {
-        return (!flow.blackholed).then(|| Arc::clone(&flow.upstream));
+        return (!flow.drops_requests).then(|| Arc::clone(&flow.upstream));
     }
     let upstream = Arc::new(UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.ok()?);
     upstream.connect(target).await.ok()?;
     let flow = Flow {
         upstream: Arc::clone(&upstream),
-        blackholed: false,
+        drops_requests: false,
+        drops_replies: false,
     };
     flows.lock().expect("no holder panics").insert(client, flow);
     tokio::spawn(forward_replies(
@@ -125,12 +147,12 @@
         let Ok(len) = received else {
             continue;
         };
-        let blackholed = flows
+        let is_dropped = flows
             .lock()
             .expect("no holder panics")
             .get(&client)
-            .is_none_or(|flow| flow.blackholed);
-        if !blackholed {
+            .is_none_or(|flow| flow.drops_replies);
+        if !is_dropped {
             let _ = client_socket.send_to(&buf[..len], client).await;
         }
     }
--- a/tests/faults_on_the_wire.rs
+++ b/tests/faults_on_the_wire.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use futures_util::future::join_all;
 use http::StatusCode;
@@ -14,6 +15,7 @@
 use support::small_fleet;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_standins::engine::KILL_PROMPT;
+use wisteriawick_standins::relay::Direction;
 use wisteriawick_standins::relay::Relay;
 
 /// Starts a relay in front of a runner's agent, and waits until every entry has a link
@@ -82,6 +84,48 @@
     fixture.stop();
 }
 
+/// Longest time from the silence of a link to the responses that were lost on it and to
+/// the links that replace it; the probes of the fault matrix have as long.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Silences a link in one direction that has replaced another silent one, while a keyed
+/// call runs on it.
+async fn silence_a_replaced_link_one_way(direction: Direction) {
+    let mut spec = small_fleet();
+    spec.services[1].runners = 1;
+    let mut fixture = Fixture::start(spec).await;
+    let relay = start_relay(&mut fixture, "jobs-1").await;
+    let first = count_links_up(&fixture, "jobs-1");
+    let entries = fixture.fleet.entries.len();
+    relay.blackhole_flows();
+    eventually(|| count_links_up(&fixture, "jobs-1") >= first + entries).await;
+    let bookings = fixture.fleet.bookings.clone();
+    let silence = async {
+        eventually(|| bookings.runs().contains_key("van-8")).await;
+        relay.blackhole_flows_one_way(direction);
+        Instant::now()
+    };
+    let (response, silenced_at) = tokio::join!(fixture.book(0, "van-8", 800), silence);
+    assert_eq!(response.status, StatusCode::OK, "{}", response.text());
+    assert_eq!(response.outcome(), "ran");
+    assert_eq!(fixture.fleet.bookings.runs()["van-8"], 1);
+    // Without further calls on them, the other entries' links are replaced too.
+    eventually(|| count_links_up(&fixture, "jobs-1") >= first + 2 * entries).await;
+    let noticed_after = silenced_at.elapsed();
+    assert!(noticed_after < SILENCE_TIMEOUT, "{noticed_after:?}");
+    fixture.stop();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_replaced_link_that_loses_requests_is_noticed() {
+    silence_a_replaced_link_one_way(Direction::Requests).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_replaced_link_that_loses_replies_is_noticed() {
+    silence_a_replaced_link_one_way(Direction::Replies).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_request_that_kills_endpoints_is_blocked_after_the_second_death() {
     let fixture = Fixture::start(small_fleet()).await;
