--- a/tests/hosted_process.rs
+++ b/tests/hosted_process.rs
@@ -16,6 +16,7 @@
 use wisteriawick_platform::SETTINGS_VARIABLE;
 use wisteriawick_platform_standin::Store;
 use wisteriawick_platform_standin::entry_settings;
+use wisteriawick_standins::address::own_address;
 
 /// Longest time that the process takes to start.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
@@ -30,11 +31,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("an address")
-}
-
 async fn wait_until_it_accepts(address: SocketAddr) {
     let connect = async {
         while TcpStream::connect(address).await.is_err() {
@@ -77,8 +73,8 @@
     let opened = tokio::task::spawn_blocking(move || std::fs::File::create(opened));
     let mut settings = opened.await.expect("no panic").expect("the pipe opens");
     signal(&process, Signal::HUP);
-    let callers = free_address();
-    let text = entry_settings("entry-test", callers, free_address(), store.address());
+    let callers = own_address();
+    let text = entry_settings("entry-test", callers, own_address(), store.address());
     settings
         .write_all(text.as_bytes())
         .expect("the pipe is read");
@@ -94,8 +90,8 @@
     let teardown = CancellationToken::new();
     let store = Store::start(teardown.clone()).await.expect("loopback");
     let file = std::env::temp_dir().join(format!("wisteriawick-{}.toml", std::process::id()));
-    let callers = free_address();
-    let text = entry_settings("entry-test", callers, free_address(), store.address());
+    let callers = own_address();
+    let text = entry_settings("entry-test", callers, own_address(), store.address());
     std::fs::write(&file, text).expect("the settings file is written");
     let mut process = start_entry(&file);
     wait_until_it_accepts(callers).await;
