A group of which nothing is heard gets no more requests

Cause: silence counted for one runner, but the ranks of a group make their passes together.

Change: if at least two runners of a group have requests and none has given a sign of life, the group gets no more until one does.

Result: group_whose_runners_are_silent_gets_no_more_requests failed and passes.

--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -69,6 +69,9 @@
 /// As [`SPREAD_REQUESTS`], for runners without a recent report. Their load is known
 /// only from this entry's own requests, so the spread must do no more than break ties.
 const TIE_BREAK_SPREAD: f64 = 0.01;
+/// Number of silent runners from which on their whole group counts as standing. A single
+/// one may be unreachable by itself.
+const MIN_SILENT_RUNNERS: usize = 2;
 /// Share of the runners that may be ejected for error responses. If more return
 /// errors, the cause is in the requests or there is no better runner.
 const MAX_EJECTED_SHARE: f64 = 0.5;
@@ -85,6 +88,15 @@
     probes: u32,
 }
 
+/// Which runners get no requests for now.
+#[derive(Clone, Debug)]
+struct Exclusions {
+    /// Whether runners that are ejected for error responses get none.
+    ejected: bool,
+    /// Groups that get none because nothing is heard of them.
+    silent_groups: Vec<Arc<str>>,
+}
+
 /// The runners of one service, as known to this entry, and the requests queued
 /// for them.
 #[derive(Debug)]
@@ -307,6 +319,36 @@
             .is_none_or(|refusing| now >= refusing.until && refusing.probes == 0)
     }
 
+    /// Returns the groups of which nothing is heard, though several of their runners have
+    /// requests. All ranks of a group make their passes together.
+    fn silent_groups(&self, now: Instant) -> Vec<Arc<str>> {
+        let mut silent_runners: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
+        for runner in self.runners.values() {
+            if let Some(group) = runner.group()
+                && runner.is_silent(now)
+            {
+                *silent_runners.entry(group).or_default() += 1;
+            }
+        }
+        silent_runners.retain(|_, count| *count >= MIN_SILENT_RUNNERS);
+        for runner in self.runners.values() {
+            if let Some(group) = runner.group()
+                && runner.in_flight() > 0
+                && !runner.is_silent(now)
+            {
+                silent_runners.remove(group);
+            }
+        }
+        silent_runners.into_keys().cloned().collect()
+    }
+
+    fn exclusions(&self, now: Instant) -> Exclusions {
+        Exclusions {
+            ejected: self.excludes_ejected(now),
+            silent_groups: self.silent_groups(now),
+        }
+    }
+
     /// Assigns queued requests to runners and rejects those past their deadline.
     ///
     /// When one of two groups is lost, more requests arrive than can be executed.
@@ -341,10 +383,10 @@
 
     /// Returns whether a runner outside `excluded` could take a request now.
     pub fn has_room_except(&self, now: Instant, excluded: &[RunnerId]) -> bool {
-        let excludes_ejected = self.excludes_ejected(now);
+        let exclusions = self.exclusions(now);
         self.runners
             .values()
-            .any(|runner| self.is_eligible(now, runner, excluded, excludes_ejected))
+            .any(|runner| self.is_eligible(now, runner, excluded, &exclusions))
     }
 
     fn is_eligible(
@@ -352,22 +394,24 @@
         now: Instant,
         runner: &Runner,
         excluded: &[RunnerId],
-        excludes_ejected: bool,
+        exclusions: &Exclusions,
     ) -> bool {
+        let is_group_silent = |group| exclusions.silent_groups.contains(group);
         runner.accepts_requests(now)
-            && !(excludes_ejected && runner.health.is_ejected(now))
-            && self.group_may_be_tried(now, runner)
+            && !(exclusions.ejected && runner.health.is_ejected(now))
+            && !runner.group().is_some_and(is_group_silent)
             && runner.has_room(now, &self.limits)
             && !excluded.contains(&runner.listed.id)
+            && self.group_may_be_tried(now, runner)
     }
 
     fn select(&mut self, now: Instant, request: &QueuedRequest) -> Option<Selection> {
-        let excludes_ejected = self.excludes_ejected(now);
+        let exclusions = self.exclusions(now);
         let mut rng = self.rng.clone();
         let best = self
             .runners
             .values()
-            .filter(|runner| self.is_eligible(now, runner, &request.excluded, excludes_ejected))
+            .filter(|runner| self.is_eligible(now, runner, &request.excluded, &exclusions))
             .map(|runner| {
                 let spread = match runner.fresh_report(now) {
                     Some(_) => SPREAD_REQUESTS * rng.random::<f64>(),
--- a/crates/core/tests/gateway_pool/health.rs
+++ b/crates/core/tests/gateway_pool/health.rs
@@ -174,3 +174,60 @@
     assert!(selected_runner(pool.admit(start, queued_request(start, 1))).is_some());
     assert!(selected_runner(pool.admit(at(700), queued_request(at(700), 2))).is_some());
 }
+
+/// Guards against trying every runner of a group that stands: all ranks of a group make
+/// their passes together.
+#[test]
+fn group_whose_runners_are_silent_gets_no_more_requests() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut pool = pool(start, 4);
+    for n in 0..4 {
+        let group = match n {
+            0..3 => "standing",
+            _ => "moving",
+        };
+        let mut load = report(8, true);
+        if let Some(known) = &mut load.group {
+            known.name = group.into();
+        }
+        pool.update_load(start, address(n), &load);
+    }
+    let mut waiting = Vec::new();
+    while waiting.len() < 2 {
+        let queue_id = waiting.len() as u64;
+        let id = selected_runner(pool.admit(start, queued_request(start, queue_id)));
+        let id = id.expect("room");
+        match id == "r3".into() || waiting.contains(&id) {
+            true => drop(pool.request_ended(start, &id, RunnerOutcome::Served)),
+            false => waiting.push(id),
+        }
+    }
+    for queue_id in 10..14 {
+        let now = at(600);
+        let id = selected_runner(pool.admit(now, queued_request(now, queue_id)));
+        assert_eq!(id, Some("r3".into()));
+    }
+    pool.response_began(at(700), &waiting[0]);
+    let now = at(800);
+    let ids: Vec<_> = (20..30)
+        .filter_map(|queue_id| selected_runner(pool.admit(now, queued_request(now, queue_id))))
+        .collect();
+    assert!(
+        ids.iter().any(|id| *id != "r3".into()),
+        "the group moves again"
+    );
+}
+
+#[test]
+fn one_silent_runner_does_not_stop_its_group() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut pool = pool(start, 2);
+    for n in 0..2 {
+        pool.update_load(start, address(n), &report(0, true));
+    }
+    let silent = selected_runner(pool.admit(start, queued_request(start, 1))).expect("room");
+    let other = selected_runner(pool.admit(at(600), queued_request(at(600), 2)));
+    assert!(other.is_some_and(|id| id != silent));
+}
