A switch reads its engine's state after a refused order

Cause, traced: engine 0 crashes at 146 ms, with its answer to a ReadBack on the way to runner 0, which is then paused. At 646 ms the engine is back without state, and the runner begins to join. When its pause ends, the older answer arrives, shows a map, and makes the runner ready. The engine refuses each Stage; the runner sets `retry_at` for "when the engine's state is next read", but a ready runner reads it only while armed. The agent polls its engine each 500 ms, so that production finds it anyway; the state machine relied on that without saying so.

Change: after a refused order or one without response, the next tick reads the state.

--- a/crates/core/src/maps/voting_switch/core.rs
+++ b/crates/core/src/maps/voting_switch/core.rs
@@ -63,6 +63,8 @@
     decided: BTreeMap<Ballot, Decision>,
     /// The last known state of the engine.
     engine: EngineView,
+    /// Whether the engine refused an order, or did not respond, since its state was read.
+    engine_in_doubt: bool,
     /// Map to start with if no runner has any state.
     initial: MapNumber,
     /// The map to be staged, and the index of the leader that waits for it.
@@ -94,6 +96,7 @@
                 staged: Vec::new(),
                 armed: None,
             },
+            engine_in_doubt: false,
             initial,
             staging: None,
             loading: None,
@@ -181,7 +184,7 @@
             }
             Phase::Ready => {
                 self.query_votes(now, out);
-                if self.engine.armed.is_some() {
+                if self.engine.armed.is_some() || self.engine_in_doubt {
                     self.read_back(now, out);
                 }
             }
@@ -544,7 +547,8 @@
                 }
             }
             EngineReport::Refused(_) | EngineReport::Unknown(_) => {
-                // The engine's state, when it is next read, shows the outcome.
+                // The engine's state shows the outcome.
+                self.engine_in_doubt = true;
                 self.retry_at.get_or_insert(now + RETRY_INTERVAL);
             }
         }
@@ -583,6 +587,7 @@
     fn handle_engine_state(&mut self, now: Instant, view: EngineView, out: &mut Vec<VotingOutput>) {
         let had_state = self.engine.active.is_some();
         self.engine = view;
+        self.engine_in_doubt = false;
         if self.engine.active.is_none() {
             self.handle_engine_without_state(now, had_state, out);
             return;
--- a/crates/faults/tests/faults.rs
+++ b/crates/faults/tests/faults.rs
@@ -106,9 +106,10 @@
 
 /// Schedules that once failed.
 ///
-/// A link went silent at a message of the link before it, and the silence of the new
-/// link was never noticed.
-const FAILED_SCHEDULES: [(Scenario, [(FaultKind, usize); 3]); 12] = [
+/// In all but the last, a link went silent at a message of the link before it, and the
+/// silence of the new link was never noticed. In the last, an older report hid from a
+/// runner that its engine had lost its state.
+const FAILED_SCHEDULES: [(Scenario, [(FaultKind, usize); 3]); 13] = [
     (
         Scenario::RunnerLeaves,
         [
@@ -205,6 +206,14 @@
             (FaultKind::SilentBothWays, 45),
         ],
     ),
+    (
+        Scenario::MapSwitch,
+        [
+            (FaultKind::StoreDown, 160),
+            (FaultKind::Paused, 23),
+            (FaultKind::EndpointCrash, 21),
+        ],
+    ),
 ];
 
 #[test]
