Store revisions count only together with their era

What operators saw: after the store returned from a copy, an entry that watched from a revision which the store had given out again never learned of a declaration written below it (not in force after 5 s), and a response of the old era that arrived late put a declaration in force which the store no longer had.

Cause: the client compared bare revisions, and knew nothing of the store's era.

A position is an era and a revision. A watch, a listing's page or a conditional write whose response is of another era fails with EraChanged and the kind is listed anew; a response older than the newest era seen fails with OlderEra and is logged as older_era.

--- a/crates/core/src/hosting.rs
+++ b/crates/core/src/hosting.rs
@@ -6,6 +6,7 @@
 //! tickets by which wisteriawick describes a fleet of its own (see
 //! [`fleet`](crate::fleet)).
 
+use std::fmt;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -54,6 +55,20 @@
     pub grace: Duration,
 }
 
+/// Number of times that the platform's store was restored from an older copy. It
+/// grows with each restore; zero if the store does not state it.
+///
+/// Writes made after the copy was taken are gone in the new era, and the store gives
+/// out their revisions again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Era(pub u64);
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// The state of a runner in the platform's list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListedState {
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -1,7 +1,8 @@
 //! Watches the declaration and the list of runners in the store.
 //!
 //! Each watch call has a short timeout, so that a dead connection is noticed within
-//! the time in which a new declaration must be in force.
+//! the time in which a new declaration must be in force. A store that was restored
+//! from a copy is listed anew; what was in force before stays in force.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +14,7 @@
 use wisteriawick_core::hosting::ListedRunner;
 use wisteriawick_platform::Change;
 use wisteriawick_platform::Freshness;
-use wisteriawick_platform::Revision;
+use wisteriawick_platform::Position;
 use wisteriawick_platform::StoreError;
 
 use crate::eventlog::EventCategory;
@@ -50,18 +51,18 @@
 }
 
 async fn follow_declaration(state: &GatewayState) {
-    let mut revision: Option<Revision> = None;
+    let mut position: Option<Position> = None;
     let mut backoff = WatchBackoff::new("declaration");
     loop {
-        let result = match revision {
+        let result = match position {
             None => list_declaration(state).await,
             Some(after) => watch_declaration_once(state, after).await,
         };
-        revision = backoff.next_revision(state, revision, result).await;
+        position = backoff.next_position(state, position, result).await;
     }
 }
 
-async fn list_declaration(state: &GatewayState) -> Result<Revision, StoreError> {
+async fn list_declaration(state: &GatewayState) -> Result<Position, StoreError> {
     let listing = state.store.declaration(LIST_TIMEOUT).await?;
     for error in &listing.unreadable {
         log_unreadable(state, &error.to_string());
@@ -69,14 +70,14 @@
     for declaration in listing.items {
         apply_declaration(state, declaration);
     }
-    Ok(listing.revision)
+    Ok(listing.position)
 }
 
 async fn watch_declaration_once(
     state: &GatewayState,
-    after: Revision,
-) -> Result<Revision, StoreError> {
-    let (changes, revision) = state.store.watch_declaration(after, WATCH_TIMEOUT).await?;
+    after: Position,
+) -> Result<Position, StoreError> {
+    let (changes, next) = state.store.watch_declaration(after, WATCH_TIMEOUT).await?;
     for change in changes {
         match change {
             Change::Written(declaration) => apply_declaration(state, declaration),
@@ -84,7 +85,7 @@
             Change::Removed { name } => log_unreadable(state, &format!("{name} was removed")),
         }
     }
-    Ok(revision)
+    Ok(next)
 }
 
 fn apply_declaration(state: &GatewayState, declaration: Declaration) {
@@ -100,26 +101,27 @@
 }
 
 async fn follow_runners(state: &GatewayState) {
-    let mut revision: Option<Revision> = None;
+    let mut position: Option<Position> = None;
     let mut backoff = WatchBackoff::new("runners");
     loop {
-        let result = match revision {
+        let result = match position {
             None => list_runners(state).await,
             Some(after) => watch_runners_once(state, after).await,
         };
         if result.is_err() {
             lock(&state.runner_registry).store_unreachable(state.now());
         }
-        revision = backoff.next_revision(state, revision, result).await;
+        position = backoff.next_position(state, position, result).await;
     }
 }
 
-async fn list_runners(state: &GatewayState) -> Result<Revision, StoreError> {
+async fn list_runners(state: &GatewayState) -> Result<Position, StoreError> {
     let listing = state.store.runners(Freshness::Newest, LIST_TIMEOUT).await?;
     for error in &listing.unreadable {
         log_unreadable(state, &error.to_string());
     }
     let now = state.now();
+    let Position { era, revision } = listing.position;
     let count = listing.items.len();
     {
         let mut runner_registry = lock(&state.runner_registry);
@@ -131,13 +133,13 @@
     state.log.line(
         EventCategory::State,
         "runners_listed",
-        json!({"count": count, "revision": listing.revision.0}),
+        json!({"count": count, "era": era.0, "revision": revision.0}),
     );
-    Ok(listing.revision)
+    Ok(listing.position)
 }
 
-async fn watch_runners_once(state: &GatewayState, after: Revision) -> Result<Revision, StoreError> {
-    let (changes, revision) = state.store.watch_runners(after, WATCH_TIMEOUT).await?;
+async fn watch_runners_once(state: &GatewayState, after: Position) -> Result<Position, StoreError> {
+    let (changes, next) = state.store.watch_runners(after, WATCH_TIMEOUT).await?;
     let now = state.now();
     let changed = !changes.is_empty();
     lock(&state.runner_registry).store_responded(now);
@@ -147,7 +149,7 @@
     if changed {
         state.refresh_services();
     }
-    Ok(revision)
+    Ok(next)
 }
 
 fn apply_runner_change(state: &GatewayState, change: Change<ListedRunner>) {
@@ -207,16 +209,16 @@
         Self { name, failures: 0 }
     }
 
-    /// Returns the revision to watch from next, after a delay if the call failed.
+    /// Returns the position to watch from next, after a delay if the call failed.
     /// `None` means that a new listing is needed.
-    async fn next_revision(
+    async fn next_position(
         &mut self,
         state: &GatewayState,
-        revision: Option<Revision>,
-        result: Result<Revision, StoreError>,
-    ) -> Option<Revision> {
+        position: Option<Position>,
+        result: Result<Position, StoreError>,
+    ) -> Option<Position> {
         match result {
-            Ok(revision) => {
+            Ok(position) => {
                 if self.failures > 0 {
                     state.log.line(
                         EventCategory::State,
@@ -225,7 +227,7 @@
                     );
                 }
                 self.failures = 0;
-                Some(revision)
+                Some(position)
             }
             Err(StoreError::HistoryGone) => {
                 state.log.line(
@@ -235,8 +237,19 @@
                 );
                 None
             }
+            Err(StoreError::EraChanged { from, to }) => {
+                state.log.line(
+                    EventCategory::State,
+                    "store_restored",
+                    json!({"for": self.name, "era": to.0, "era_before": from.0}),
+                );
+                None
+            }
             Err(e) => {
-                if self.failures == 0 {
+                if let StoreError::OlderEra { era, newest } = e {
+                    let fields = json!({"for": self.name, "era": era.0, "newest": newest.0});
+                    state.log.line(EventCategory::Failure, "older_era", fields);
+                } else if self.failures == 0 {
                     let fields = json!({"for": self.name, "error": e.to_string()});
                     state.log.line(EventCategory::Failure, "store_lost", fields);
                 }
@@ -245,7 +258,7 @@
                 self.failures += 1;
                 let jitter = 0.75 + state.random_fraction() / 2.0;
                 tokio::time::sleep(delay.min(MAX_RETRY_DELAY).mul_f64(jitter)).await;
-                revision
+                position
             }
         }
     }
