A declaration stays in force when the store returns with an older one

What operators saw: after the store had returned from a copy, nothing told that an entry served a newer version than the store held, and a version that was written again under the same number was ignored, so that entries which had restarted served other content.

Cause: only a higher version replaced the one in force, whatever era it came from.

Change: versions of different eras are ordered by version, then by era: an older version never replaces a newer one, and the same version of a newer era is the operator's word. An entry logs store_behind once an era, with both versions and eras, and sets wisteriawick_store_behind{for="declaration"} until a version that is not older is written.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -38,6 +38,7 @@
 pub use events::SequenceChecker;
 pub use events::StreamFault;
 pub use latest_declaration::LatestDeclaration;
+pub use latest_declaration::StoreBehind;
 pub use load::GroupReport;
 pub use load::LoadReport;
 pub use pool::Admission;
--- a/crates/core/tests/gateway_request.rs
+++ b/crates/core/tests/gateway_request.rs
@@ -18,6 +18,7 @@
 use wisteriawick_core::gateway::Tenancy;
 use wisteriawick_core::gateway::WeightedService;
 use wisteriawick_core::gateway::WindowedRetryBudget;
+use wisteriawick_core::hosting::Era;
 use wisteriawick_core::ids::Fingerprint;
 
 const LIMITS: CallerLimits = CallerLimits {
@@ -122,14 +123,15 @@
 #[test]
 fn an_older_declaration_never_replaces_a_newer_one() {
     let mut latest_declaration = LatestDeclaration::default();
-    assert!(latest_declaration.update(declaration(7, vec![])));
-    assert!(!latest_declaration.update(declaration(7, vec![route("again", "/")])));
+    let era = Era(1);
+    assert!(latest_declaration.update(era, declaration(7, vec![])));
+    assert!(!latest_declaration.update(era, declaration(7, vec![route("again", "/")])));
     assert!(
-        !latest_declaration.update(declaration(3, vec![])),
+        !latest_declaration.update(era, declaration(3, vec![])),
         "a stale read is ignored"
     );
     assert!(
-        latest_declaration.update(declaration(12, vec![])),
+        latest_declaration.update(era, declaration(12, vec![])),
         "versions may skip numbers"
     );
     assert_eq!(
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -36,7 +36,9 @@
 use wisteriawick_core::gateway::RunnerOutcome;
 use wisteriawick_core::gateway::RunnerRegistry;
 use wisteriawick_core::gateway::ServiceTarget;
+use wisteriawick_core::gateway::StoreBehind;
 use wisteriawick_core::gateway::WindowedRetryBudget;
+use wisteriawick_core::hosting::Era;
 use wisteriawick_core::hosting::HostSettings;
 use wisteriawick_core::ids::RunnerId;
 use wisteriawick_core::ids::ServiceId;
@@ -148,14 +150,20 @@
 
     /// Puts a declaration in force if it is newer than the current one; returns
     /// whether it was.
-    pub(crate) fn update_declaration(&self, declaration: Declaration) -> bool {
-        if !lock(&self.latest_declaration).update(declaration) {
+    pub(crate) fn update_declaration(&self, era: Era, declaration: Declaration) -> bool {
+        if !lock(&self.latest_declaration).update(era, declaration) {
             return false;
         }
         self.refresh_services();
         true
     }
 
+    /// Compares the declaration in force with the one that the store lists; see
+    /// [`LatestDeclaration::compare_listed`].
+    pub(crate) fn compare_listed(&self, era: Era, listed: Option<u64>) -> Option<StoreBehind> {
+        lock(&self.latest_declaration).compare_listed(era, listed)
+    }
+
     /// Updates all pools from the declaration and the runner registry.
     pub(crate) fn refresh_services(&self) {
         let Some(declaration) = self.declaration() else {
@@ -324,6 +332,12 @@
         });
     }
 
+    /// Sets the gauges that show what a restored store does not hold.
+    fn report_store_behind(&self) {
+        let declaration = lock(&self.latest_declaration).is_store_behind();
+        gauge!(telemetry::STORE_BEHIND, "for" => "declaration").set(f64::from(declaration));
+    }
+
     /// Dispatches the queued requests of all services and updates their gauges.
     fn dispatch_all(&self) {
         let now = self.now();
@@ -410,6 +424,7 @@
         if expired > 0 {
             state.refresh_services();
         }
+        state.report_store_behind();
         state.dispatch_all();
         state.upstreams.close_idle(state.now());
     }
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -11,6 +11,8 @@
 use serde_json::json;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::gateway::Declaration;
+use wisteriawick_core::gateway::StoreBehind;
+use wisteriawick_core::hosting::Era;
 use wisteriawick_core::hosting::ListedRunner;
 use wisteriawick_platform::Change;
 use wisteriawick_platform::Freshness;
@@ -67,8 +69,13 @@
     for error in &listing.unreadable {
         log_unreadable(state, &error.to_string());
     }
+    let era = listing.position.era;
+    let listed = listing.items.iter().map(Declaration::version).max();
     for declaration in listing.items {
-        apply_declaration(state, declaration);
+        apply_declaration(state, era, declaration);
+    }
+    if let Some(behind) = state.compare_listed(era, listed) {
+        log_store_behind(state, &behind);
     }
     Ok(listing.position)
 }
@@ -80,7 +87,7 @@
     let (changes, next) = state.store.watch_declaration(after, WATCH_TIMEOUT).await?;
     for change in changes {
         match change {
-            Change::Written(declaration) => apply_declaration(state, declaration),
+            Change::Written(declaration) => apply_declaration(state, next.era, declaration),
             Change::Unreadable { error, .. } => log_unreadable(state, &error.to_string()),
             Change::Removed { name } => log_unreadable(state, &format!("{name} was removed")),
         }
@@ -88,18 +95,30 @@
     Ok(next)
 }
 
-fn apply_declaration(state: &GatewayState, declaration: Declaration) {
+fn apply_declaration(state: &GatewayState, era: Era, declaration: Declaration) {
     let version = declaration.version();
-    let in_force = state.update_declaration(declaration);
+    let in_force = state.update_declaration(era, declaration);
     if in_force {
         state.log.line(
             EventCategory::State,
             "declaration",
-            json!({"version": version}),
+            json!({"version": version, "era": era.0}),
         );
     }
 }
 
+fn log_store_behind(state: &GatewayState, behind: &StoreBehind) {
+    let fields = json!({
+        "in_force": behind.in_force,
+        "in_force_era": behind.in_force_era.0,
+        "listed": behind.listed,
+        "listed_era": behind.listed_era.0,
+    });
+    state
+        .log
+        .line(EventCategory::Failure, "store_behind", fields);
+}
+
 async fn follow_runners(state: &GatewayState) {
     let mut position: Option<Position> = None;
     let mut backoff = WatchBackoff::new("runners");
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -46,6 +46,9 @@
 pub const IN_FLIGHT_REQUESTS: &str = "wisteriawick_in_flight_requests";
 /// Failed calls to the platform's store, by purpose.
 pub const STORE_FAILURES: &str = "wisteriawick_store_failures_total";
+/// What the platform's store lacks since it was restored from an older copy: whether
+/// the declaration in force, and how many records of runners, are newer there.
+pub const STORE_BEHIND: &str = "wisteriawick_store_behind";
 /// Switches of the expert map completed by all ranks.
 pub const MAP_SWITCHES: &str = "wisteriawick_map_switches_total";
 /// Upper bound of the seconds for which a switch of the expert map held a pass.
