Runners' leaving holds when the store returns from a copy

What callers saw: after the store had returned from a copy, requests went to runners that were leaving or removed, because the copy still listed them as ready; and a runner that had registered after the copy was taken lost its requests at once.

Cause: the registry took each listing as the present state, and gave a grace period only after outages of 1.5 s or more.

Change: the registry knows the era of its listing. The first listing of a newer era is a copy: a runner that was leaving stays leaving until it restarts; one that was removed is withheld until it writes in the new era or a later listing shows a higher heartbeat number; a record of an earlier start replaces no later one; runners that the copy lacks are kept for the grace period in which live runners register again. Removals are remembered for ten minutes. While a removed runner is withheld, at most three more listings are made. The number withheld is in wisteriawick_store_behind{for="runners"} and in runners_listed.

--- a/crates/core/src/gateway/runner_registry.rs
+++ b/crates/core/src/gateway/runner_registry.rs
@@ -4,12 +4,19 @@
 //! cannot renew it during a store outage. Records that expired in an outage are
 //! therefore kept for a grace period, in which live runners register again.
 //! Without an outage a removed record means that the runner is gone.
+//!
+//! A store that was restored from a copy lacks records that were written after the
+//! copy was taken, and lists runners that have left since. The former are kept for
+//! the grace period too. The latter are withheld: they get no new requests until
+//! they show that they are alive.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::hosting::Era;
 use crate::hosting::ListedRunner;
+use crate::hosting::ListedState;
 use crate::ids::RunnerId;
 use crate::ids::ServiceId;
 
@@ -19,11 +26,24 @@
 /// Shortest store outage in which records of live runners may have expired.
 /// Runners send a heartbeat about every second.
 const MIN_OUTAGE: Duration = Duration::from_millis(1_500);
+/// How long a removed runner is remembered. A copy is some seconds old.
+const REMOVAL_MEMORY: Duration = Duration::from_secs(600);
+/// Interval at which the runners are listed while some are withheld. A heartbeat
+/// alone is no change that a watch reports, but a listing may show its number.
+const RELIST_INTERVAL: Duration = Duration::from_millis(2_500);
+/// Maximum number of such listings after a restore.
+const MAX_RELISTS: u32 = 3;
 
 /// The runners that are considered registered.
 #[derive(Debug, Default)]
 pub struct RunnerRegistry {
     records: BTreeMap<RunnerId, Record>,
+    /// The last record of each runner that was removed, and when.
+    removed: BTreeMap<RunnerId, (ListedRunner, Instant)>,
+    /// Era of the last listing.
+    era: Option<Era>,
+    /// Whether the store was restored since the first listing.
+    was_restored: bool,
     /// When the store last responded.
     last_response: Option<Instant>,
     /// When the store last responded before the current outage; `None` if it is
@@ -31,6 +51,9 @@
     unreachable_since: Option<Instant>,
     /// Until when expired records are kept after an outage.
     grace_until: Option<Instant>,
+    /// When the runners are listed again if some are withheld then.
+    relist_at: Option<Instant>,
+    relists_left: u32,
 }
 
 #[derive(Debug)]
@@ -38,6 +61,17 @@
     runner: ListedRunner,
     /// Whether the store no longer lists the runner.
     is_expired: bool,
+    withheld: Option<Withheld>,
+}
+
+/// Why a runner that a restored store lists gets no new requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Withheld {
+    /// It was leaving, and a runner that leaves does not return before it restarts.
+    Leaving,
+    /// Its record was removed, or was replaced by that of a later start. It has to
+    /// write again.
+    Removed,
 }
 
 impl RunnerRegistry {
@@ -58,35 +92,56 @@
         self.last_response = Some(now);
     }
 
-    /// Replaces all records with a complete listing of the store.
-    pub fn replace_all(&mut self, now: Instant, runners: Vec<ListedRunner>) {
-        let keep_expired = self.is_in_grace(now);
+    /// Replaces all records with a complete listing of the store. The first listing
+    /// of a newer era is of a restored store.
+    pub fn replace_all(&mut self, now: Instant, era: Era, runners: Vec<ListedRunner>) {
+        let is_restored = self.era.is_some_and(|known| era > known);
+        self.era = Some(era);
+        if is_restored {
+            self.was_restored = true;
+            self.grace_until = Some(now + EXPIRY_GRACE);
+            self.relist_at = Some(now + RELIST_INTERVAL);
+            self.relists_left = MAX_RELISTS;
+        }
         for record in self.records.values_mut() {
             record.is_expired = true;
         }
         for runner in runners {
-            self.update(runner);
+            match is_restored {
+                true => self.restore(runner),
+                false => self.observe(runner),
+            }
         }
-        if !keep_expired {
-            self.records.retain(|_, record| !record.is_expired);
+        if !self.is_in_grace(now) {
+            self.drop_expired(now);
         }
     }
 
-    /// Sets a runner's record. Returns whether the runner is new or its address,
-    /// state or start time changed.
+    /// Sets a runner's record as it was written in this era. Returns whether the
+    /// runner is new or its address, state or start time changed.
     pub fn update(&mut self, runner: ListedRunner) -> bool {
         let id = runner.id.clone();
+        self.removed.remove(&id);
+        let previous = self.records.get(&id);
+        let withheld = previous
+            .filter(|previous| previous.runner.started_unix_ms == runner.started_unix_ms)
+            .and_then(|previous| previous.withheld)
+            .filter(|withheld| *withheld == Withheld::Leaving)
+            .filter(|_| runner.state == ListedState::Ready);
         let visible_state =
             |runner: &ListedRunner| (runner.address, runner.state, runner.started_unix_ms);
-        let new_state = visible_state(&runner);
+        let is_changed = previous.is_none_or(|previous| {
+            previous.is_expired
+                || previous.withheld != withheld
+                || visible_state(&previous.runner) != visible_state(&runner)
+        });
         let record = Record {
             runner,
             is_expired: false,
+            withheld,
         };
-        let previous = self.records.insert(id, record);
-        previous.is_none_or(|previous| {
-            previous.is_expired || visible_state(&previous.runner) != new_state
-        })
+        self.records.insert(id, record);
+        is_changed
     }
 
     /// Returns whether the runner has restarted since its stored record.
@@ -98,11 +153,12 @@
 
     /// Removes a runner's record, or marks it as expired in the grace period.
     pub fn remove(&mut self, now: Instant, id: &RunnerId) {
-        if !self.is_in_grace(now) {
-            self.records.remove(id);
-        } else if let Some(record) = self.records.get_mut(id) {
+        if let Some(record) = self.records.get_mut(id) {
             record.is_expired = true;
         }
+        if !self.is_in_grace(now) {
+            self.drop_expired(now);
+        }
     }
 
     /// Drops expired records once the grace period is over; returns how many.
@@ -111,18 +167,36 @@
             return 0;
         }
         self.grace_until = None;
-        let before = self.records.len();
-        self.records.retain(|_, record| !record.is_expired);
-        before - self.records.len()
+        self.drop_expired(now)
+    }
+
+    /// Returns whether the runners are to be listed again, because a withheld runner
+    /// may have sent a heartbeat. Returns `true` once each interval.
+    pub fn take_relist(&mut self, now: Instant) -> bool {
+        if self.relist_at.is_none_or(|at| now < at) {
+            return false;
+        }
+        let mut withheld = self.records.values().map(|record| record.withheld);
+        let may_have_written = withheld.any(|withheld| withheld == Some(Withheld::Removed));
+        let is_due = self.relists_left > 0 && may_have_written;
+        self.relists_left = self.relists_left.saturating_sub(1);
+        self.relist_at = is_due.then(|| now + RELIST_INTERVAL);
+        is_due
+    }
+
+    /// Returns the number of listed runners that get no new requests because only a
+    /// restored copy says that they take any.
+    pub fn withheld_count(&self) -> usize {
+        let withheld = |record: &&Record| record.withheld.is_some() && !record.is_expired;
+        self.records.values().filter(withheld).count()
     }
 
-    /// Returns the runners of a service.
+    /// Returns the runners of a service. Withheld ones are leaving.
     pub fn of_service(&self, service: &ServiceId) -> Vec<ListedRunner> {
         self.records
             .values()
-            .map(|record| &record.runner)
-            .filter(|runner| runner.service == *service)
-            .cloned()
+            .filter(|record| record.runner.service == *service)
+            .map(Record::effective)
             .collect()
     }
 
@@ -131,7 +205,118 @@
         self.records.values().map(|record| &record.runner)
     }
 
+    /// Sets a runner's record as the first listing of a restored store has it.
+    fn restore(&mut self, runner: ListedRunner) {
+        let id = runner.id.clone();
+        let Some(record) = self.records.get_mut(&id) else {
+            let withheld = self
+                .removed
+                .get(&id)
+                .and_then(|(known, _)| withheld_after_removal(known, &runner));
+            let record = Record {
+                runner,
+                is_expired: false,
+                withheld,
+            };
+            self.records.insert(id, record);
+            return;
+        };
+        if is_earlier_start(&runner, &record.runner) {
+            // The later start is not listed, so it has to register again.
+            return;
+        }
+        let is_same_start = runner.started_unix_ms == record.runner.started_unix_ms;
+        let was_leaving = record.runner.state == ListedState::Leaving;
+        record.withheld = match is_same_start {
+            true if was_leaving => Some(Withheld::Leaving),
+            true => record.withheld,
+            false => None,
+        };
+        record.runner = runner;
+        record.is_expired = false;
+    }
+
+    /// Sets a runner's record as a later listing of the same era has it.
+    fn observe(&mut self, runner: ListedRunner) {
+        let record = self.records.get_mut(&runner.id);
+        let unchanged = record
+            .filter(|record| record.withheld == Some(Withheld::Removed) && record.runner == runner);
+        if let Some(record) = unchanged {
+            record.is_expired = false;
+            return;
+        }
+        let known = self.records.get(&runner.id);
+        let known = known.map(|record| &record.runner);
+        let known = known.or(self.removed.get(&runner.id).map(|(known, _)| known));
+        if self.was_restored && known.is_some_and(|known| is_earlier_start(&runner, known)) {
+            if self
+                .records
+                .get(&runner.id)
+                .is_none_or(|known| !known.is_expired)
+            {
+                self.withhold(runner);
+            }
+            return;
+        }
+        self.update(runner);
+    }
+
+    /// Sets a record that says nothing about the runner's present.
+    fn withhold(&mut self, runner: ListedRunner) {
+        let record = Record {
+            is_expired: false,
+            withheld: Some(Withheld::Removed),
+            runner,
+        };
+        self.records.insert(record.runner.id.clone(), record);
+    }
+
+    fn drop_expired(&mut self, now: Instant) -> usize {
+        let before = self.records.len();
+        for (id, record) in self.records.extract_if(.., |_, record| record.is_expired) {
+            let mut runner = record.runner;
+            if record.withheld == Some(Withheld::Leaving) {
+                runner.state = ListedState::Leaving;
+            }
+            self.removed.insert(id, (runner, now));
+        }
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < REMOVAL_MEMORY;
+        self.removed.retain(|_, (_, at)| is_recent(*at));
+        before - self.records.len()
+    }
+
     fn is_in_grace(&self, now: Instant) -> bool {
         self.grace_until.is_some_and(|until| now < until)
     }
 }
+
+impl Record {
+    /// Returns the runner in the state in which it is to be used.
+    fn effective(&self) -> ListedRunner {
+        let mut runner = self.runner.clone();
+        if self.withheld.is_some() {
+            runner.state = ListedState::Leaving;
+        }
+        runner
+    }
+}
+
+/// Returns why a runner is withheld that a restored store lists after its removal.
+fn withheld_after_removal(removed: &ListedRunner, listed: &ListedRunner) -> Option<Withheld> {
+    if is_earlier_start(listed, removed) {
+        return Some(Withheld::Removed);
+    }
+    if removed.started_unix_ms != listed.started_unix_ms {
+        return None;
+    }
+    match removed.state {
+        ListedState::Leaving => Some(Withheld::Leaving),
+        ListedState::Ready => Some(Withheld::Removed),
+    }
+}
+
+/// Returns whether a record is of an earlier start of the runner than another one.
+fn is_earlier_start(runner: &ListedRunner, than: &ListedRunner) -> bool {
+    let starts = runner.started_unix_ms.zip(than.started_unix_ms);
+    starts.is_some_and(|(start, than)| start < than)
+}
--- a/crates/core/src/hosting.rs
+++ b/crates/core/src/hosting.rs
@@ -95,6 +95,9 @@
     pub state: ListedState,
     /// How long it will remain slow after its start, while it warms up.
     pub cold_remaining: Duration,
+    /// Number of its heartbeats, if the platform states it. It may lag behind: a
+    /// heartbeat alone is no change of the list.
+    pub sequence: Option<u64>,
     /// Time of its start in Unix milliseconds, if the platform states it; distinguishes
     /// a restarted runner from the one before.
     pub started_unix_ms: Option<u64>,
--- a/crates/core/tests/gateway_pool/main.rs
+++ b/crates/core/tests/gateway_pool/main.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod health;
+mod restored_store;
 mod runner_registry;
 mod support;
 mod waiting;
--- a/crates/core/tests/gateway_pool/support.rs
+++ b/crates/core/tests/gateway_pool/support.rs
@@ -37,6 +37,7 @@
         slots: 12,
         state: ListedState::Ready,
         cold_remaining: Duration::ZERO,
+        sequence: None,
         started_unix_ms: Some(1),
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -336,6 +336,8 @@
     fn report_store_behind(&self) {
         let declaration = lock(&self.latest_declaration).is_store_behind();
         gauge!(telemetry::STORE_BEHIND, "for" => "declaration").set(f64::from(declaration));
+        let runners = lock(&self.runner_registry).withheld_count();
+        gauge!(telemetry::STORE_BEHIND, "for" => "runners").set(runners as f64);
     }
 
     /// Dispatches the queued requests of all services and updates their gauges.
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -123,6 +123,9 @@
     let mut position: Option<Position> = None;
     let mut backoff = WatchBackoff::new("runners");
     loop {
+        if lock(&state.runner_registry).take_relist(state.now()) {
+            position = None;
+        }
         let result = match position {
             None => list_runners(state).await,
             Some(after) => watch_runners_once(state, after).await,
@@ -142,17 +145,18 @@
     let now = state.now();
     let Position { era, revision } = listing.position;
     let count = listing.items.len();
-    {
+    let withheld = {
         let mut runner_registry = lock(&state.runner_registry);
         runner_registry.store_responded(now);
-        runner_registry.replace_all(now, listing.items);
-    }
+        runner_registry.replace_all(now, era, listing.items);
+        runner_registry.withheld_count()
+    };
     state.refresh_services();
     state.set_has_runner_list();
     state.log.line(
         EventCategory::State,
         "runners_listed",
-        json!({"count": count, "era": era.0, "revision": revision.0}),
+        json!({"count": count, "withheld": withheld, "era": era.0, "revision": revision.0}),
     );
     Ok(listing.position)
 }
