An entry learns the store's era with its first call after an outage

What operators saw: a declaration written as the store returned from a copy came into force a second later than after a plain outage if all revisions that entries knew had been given out again: the store held the watch, which waits for changes after a revision of the old era.

Change: after a failed call a watch does not wait, so its response tells the era at once.

--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -58,7 +58,7 @@
     loop {
         let result = match position {
             None => list_declaration(state).await,
-            Some(after) => watch_declaration_once(state, after).await,
+            Some(after) => watch_declaration_once(state, after, backoff.watch_timeout()).await,
         };
         position = backoff.next_position(state, position, result).await;
     }
@@ -83,8 +83,9 @@
 async fn watch_declaration_once(
     state: &GatewayState,
     after: Position,
+    timeout: Duration,
 ) -> Result<Position, StoreError> {
-    let (changes, next) = state.store.watch_declaration(after, WATCH_TIMEOUT).await?;
+    let (changes, next) = state.store.watch_declaration(after, timeout).await?;
     for change in changes {
         match change {
             Change::Written(declaration) => apply_declaration(state, next.era, declaration),
@@ -128,7 +129,7 @@
         }
         let result = match position {
             None => list_runners(state).await,
-            Some(after) => watch_runners_once(state, after).await,
+            Some(after) => watch_runners_once(state, after, backoff.watch_timeout()).await,
         };
         if result.is_err() {
             lock(&state.runner_registry).store_unreachable(state.now());
@@ -161,8 +162,12 @@
     Ok(listing.position)
 }
 
-async fn watch_runners_once(state: &GatewayState, after: Position) -> Result<Position, StoreError> {
-    let (changes, next) = state.store.watch_runners(after, WATCH_TIMEOUT).await?;
+async fn watch_runners_once(
+    state: &GatewayState,
+    after: Position,
+    timeout: Duration,
+) -> Result<Position, StoreError> {
+    let (changes, next) = state.store.watch_runners(after, timeout).await?;
     let now = state.now();
     let changed = !changes.is_empty();
     lock(&state.runner_registry).store_responded(now);
@@ -232,6 +237,16 @@
         Self { name, failures: 0 }
     }
 
+    /// Returns how long the store may hold the next watch call. After a failure it
+    /// responds at once, so that its era is known before a watch waits in vain for
+    /// changes after a revision of an older era.
+    fn watch_timeout(&self) -> Duration {
+        match self.failures {
+            0 => WATCH_TIMEOUT,
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Returns the position to watch from next, after a delay if the call failed.
     /// `None` means that a new listing is needed.
     async fn next_position(
