--- a/crates/core/src/gateway/runner_registry.rs
+++ b/crates/core/src/gateway/runner_registry.rs
@@ -238,27 +238,27 @@
 
     /// Sets a runner's record as a later listing of the same era has it.
     fn observe(&mut self, runner: ListedRunner) {
-        let record = self.records.get_mut(&runner.id);
-        let unchanged = record
-            .filter(|record| record.withheld == Some(Withheld::Removed) && record.runner == runner);
-        if let Some(record) = unchanged {
+        let known = self.records.get_mut(&runner.id);
+        let is_withheld = |record: &&mut Record| record.withheld == Some(Withheld::Removed);
+        if let Some(record) = known.filter(is_withheld)
+            && record.runner == runner
+        {
             record.is_expired = false;
-            return;
+        } else if !self.was_restored || !self.has_known_later_start(&runner) {
+            self.update(runner);
+        } else if !self.records.contains_key(&runner.id) {
+            // The later start did not register again in the grace period.
+            self.withhold(runner);
         }
-        let known = self.records.get(&runner.id);
-        let known = known.map(|record| &record.runner);
-        let known = known.or(self.removed.get(&runner.id).map(|(known, _)| known));
-        if self.was_restored && known.is_some_and(|known| is_earlier_start(&runner, known)) {
-            if self
-                .records
-                .get(&runner.id)
-                .is_none_or(|known| !known.is_expired)
-            {
-                self.withhold(runner);
-            }
-            return;
-        }
-        self.update(runner);
+    }
+
+    /// Returns whether a later start of the runner was listed before.
+    fn has_known_later_start(&self, runner: &ListedRunner) -> bool {
+        let listed = self.records.get(&runner.id).map(|record| &record.runner);
+        let removed = self.removed.get(&runner.id).map(|(removed, _)| removed);
+        listed
+            .or(removed)
+            .is_some_and(|known| is_earlier_start(runner, known))
     }
 
     /// Sets a record that says nothing about the runner's present.
