--- a/tests/hosted_restored_store.rs
+++ b/tests/hosted_restored_store.rs
@@ -15,6 +15,7 @@
 use wisteriawick_platform_standin::Store;
 use wisteriawick_platform_standin::configuration;
 use wisteriawick_platform_standin::entry_settings;
+use wisteriawick_standins::address::own_address;
 
 /// Longest time until an expected line is logged.
 const LINE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -31,11 +32,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("an address")
-}
-
 /// Returns the next line of an event.
 fn next_line(lines: &mpsc::Receiver<Value>, event: &str, timeout: Duration) -> Option<Value> {
     let end = std::time::Instant::now() + timeout;
@@ -54,12 +50,7 @@
     let store = Store::start(teardown.clone()).await.expect("loopback");
     let name = format!("wisteriawick-restored-{}.toml", std::process::id());
     let settings = std::env::temp_dir().join(name);
-    let text = entry_settings(
-        "entry-test",
-        free_address(),
-        free_address(),
-        store.address(),
-    );
+    let text = entry_settings("entry-test", own_address(), own_address(), store.address());
     std::fs::write(&settings, text).expect("the settings file is written");
     let child = Command::new(env!("CARGO_BIN_EXE_wisteriawick"))
         .arg("entry")
