--- a/tests/hosted_restored_store.rs
+++ b/tests/hosted_restored_store.rs
@@ -2,7 +2,6 @@
 
 use std::io::BufRead;
 use std::io::BufReader;
-use std::net::SocketAddr;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
