Messages on links between agents and entries end in time

A peer that connected and sent nothing, or one byte at a time within a message, kept its link and an agent's task for as long as it liked, and a message could take 4 MB: a leader's or an entry's links to a hundred such agents 400 MB.

A message must now be complete 1 s after its first byte, and the first one 1 s after the link was accepted. The largest message is 64 B before the hello, 64 kB from a leader to an entry and 512 kB between leader and member. A link that passes a bound is closed and dialed again as before.

The links that an entry dials use the same code but have no test of their own.

--- a/src/gateway/load_reports.rs
+++ b/src/gateway/load_reports.rs
@@ -109,7 +109,7 @@
 }
 
 async fn open_link(agent: SocketAddr) -> std::io::Result<(Link, GroupMessage)> {
-    let mut link = Link::new(TcpStream::connect(agent).await?)?;
+    let mut link = Link::to_leader(TcpStream::connect(agent).await?)?;
     link.send(&Hello::Entry).await?;
     let first = link.recv().await?;
     Ok((link, first))
--- a/src/rank/link.rs
+++ b/src/rank/link.rs
@@ -11,17 +11,17 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures_util::SinkExt;
-use futures_util::StreamExt;
+use bytes::Buf;
+use bytes::BytesMut;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::broadcast::error::RecvError;
 use tokio::sync::watch;
-use tokio_util::codec::Framed;
-use tokio_util::codec::LengthDelimitedCodec;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::accept;
@@ -38,8 +38,21 @@
 use crate::rank::wire::PositionWire;
 use crate::rank::wire::ViewWire;
 
-/// Largest message. The map of a group of 64 ranks takes less than 200 kB.
-const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
+/// Largest message between a leader and a member, in bytes. The map of a group of 64
+/// ranks takes less than 200 kB.
+const MAX_MESSAGE_BYTES: usize = 512 * 1024;
+/// Largest message from a leader to an entry, in bytes.
+const MAX_GROUP_MESSAGE_BYTES: usize = 64 * 1024;
+/// Largest first message of a link, in bytes.
+const MAX_HELLO_BYTES: usize = 64;
+/// Size of the length prefix of a message.
+const LENGTH_BYTES: usize = 4;
+/// Space that is kept free in the buffer of a link for the next read, in bytes.
+const MIN_READ_BYTES: usize = 4 * 1024;
+/// Longest time from the first byte of a message to its end.
+const MESSAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest wait for the first message of an accepted link.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Shortest time between two reports of a group's load to an entry: about two
 /// passes. Over shorter times an entry knows its own part of the load better.
@@ -56,39 +69,89 @@
     pub(crate) entries: Arc<AtomicU16>,
 }
 
-/// A connection that carries length-delimited messages.
+/// A connection that carries messages, each preceded by its length as a big-endian
+/// 32-bit number.
 pub(crate) struct Link {
-    framed: Framed<TcpStream, LengthDelimitedCodec>,
+    stream: TcpStream,
+    buf: BytesMut,
+    max_message: usize,
+    /// When the message that has begun to arrive must be complete.
+    message_due: Option<Instant>,
 }
 
 impl Link {
-    pub(crate) fn new(stream: TcpStream) -> std::io::Result<Self> {
+    /// Returns a link that accepts messages of up to `max_message` bytes.
+    fn with_limit(stream: TcpStream, max_message: usize) -> std::io::Result<Self> {
         enable_dead_peer_detection(&stream)?;
-        let codec = LengthDelimitedCodec::builder()
-            .max_frame_length(MAX_MESSAGE_BYTES)
-            .new_codec();
         Ok(Self {
-            framed: Framed::new(stream, codec),
+            stream,
+            buf: BytesMut::new(),
+            max_message,
+            message_due: None,
         })
     }
 
+    /// Returns a link from a leader to a member.
+    pub(crate) fn to_member(stream: TcpStream) -> std::io::Result<Self> {
+        Self::with_limit(stream, MAX_MESSAGE_BYTES)
+    }
+
+    /// Returns a link from an entry to the leader of a group.
+    pub(crate) fn to_leader(stream: TcpStream) -> std::io::Result<Self> {
+        Self::with_limit(stream, MAX_GROUP_MESSAGE_BYTES)
+    }
+
     pub(crate) async fn send<T: Serialize>(&mut self, message: &T) -> std::io::Result<()> {
         let bytes = postcard::to_allocvec(message).map_err(std::io::Error::other)?;
-        self.framed.send(Bytes::from(bytes)).await
+        let length = u32::try_from(bytes.len()).map_err(std::io::Error::other)?;
+        let mut frame = BytesMut::with_capacity(LENGTH_BYTES + bytes.len());
+        frame.extend_from_slice(&length.to_be_bytes());
+        frame.extend_from_slice(&bytes);
+        self.stream.write_all(&frame).await
     }
 
-    /// Receives the next message.
+    /// Receives the next message. No byte is lost if the future is dropped.
     ///
     /// # Errors
     ///
-    /// Fails if the link has ended or the message cannot be decoded.
+    /// Fails if the link has ended, if the message is too large or cannot be decoded, or
+    /// if it has begun and does not end in time.
     pub(crate) async fn recv<T: DeserializeOwned>(&mut self) -> std::io::Result<T> {
-        let frame = self
-            .framed
-            .next()
-            .await
-            .ok_or(std::io::ErrorKind::UnexpectedEof)??;
-        postcard::from_bytes(&frame).map_err(std::io::Error::other)
+        loop {
+            if let Some(message) = self.split_message()? {
+                self.message_due = None;
+                return postcard::from_bytes(&message).map_err(std::io::Error::other);
+            }
+            if self.message_due.is_none() && !self.buf.is_empty() {
+                self.message_due = Some(Instant::now() + MESSAGE_TIMEOUT);
+            }
+            self.buf.reserve(MIN_READ_BYTES);
+            let read = self.stream.read_buf(&mut self.buf);
+            let len = match self.message_due {
+                Some(due) => tokio::time::timeout_at(due, read).await??,
+                None => read.await?,
+            };
+            if len == 0 {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    /// Removes the next message from the buffer if it is complete.
+    fn split_message(&mut self) -> std::io::Result<Option<BytesMut>> {
+        let Some(prefix) = self.buf.first_chunk::<LENGTH_BYTES>() else {
+            return Ok(None);
+        };
+        let length = u32::from_be_bytes(*prefix) as usize;
+        if length > self.max_message {
+            let problem = format!("a message of {length} bytes exceeds the maximum size");
+            return Err(std::io::Error::other(problem));
+        }
+        if self.buf.len() < LENGTH_BYTES + length {
+            return Ok(None);
+        }
+        self.buf.advance(LENGTH_BYTES);
+        Ok(Some(self.buf.split_to(length)))
     }
 }
 
@@ -103,7 +166,7 @@
         let member = member.clone();
         let group = group.clone();
         async move {
-            if let Ok(link) = Link::new(stream) {
+            if let Ok(link) = Link::with_limit(stream, MAX_HELLO_BYTES) {
                 // After a failure, the process that dialed dials again.
                 let _ = handle(link, member, group).await;
             }
@@ -114,7 +177,8 @@
 
 /// Serves a link according to its first message.
 async fn handle(mut link: Link, member: MemberHandle, group: GroupHandle) -> std::io::Result<()> {
-    match link.recv::<Hello>().await? {
+    let hello = tokio::time::timeout(HELLO_TIMEOUT, link.recv::<Hello>()).await??;
+    match hello {
         Hello::Leader => serve_leader(link, member, group).await,
         Hello::Entry => serve_entry(link, member, group).await,
     }
@@ -196,6 +260,7 @@
     mut member: MemberHandle,
     group: GroupHandle,
 ) -> std::io::Result<()> {
+    link.max_message = MAX_MESSAGE_BYTES;
     let mut counts = member.counts();
     let mut reported = Reported::default();
     report_changes(&mut link, &mut reported, &member).await?;
--- a/src/rank/peers.rs
+++ b/src/rank/peers.rs
@@ -127,7 +127,7 @@
             .await
             .ok()?
             .ok()?;
-        let mut link = Link::new(stream).ok()?;
+        let mut link = Link::to_member(stream).ok()?;
         link.send(&Hello::Leader).await.ok()?;
         let first = tokio::time::timeout(POSITION_TIMEOUT, link.recv())
             .await
