Responses of runners without end are cut off, and count against the runner

Callers saw: a runner that sent interim responses, or a head, one byte at a time or without end, held a request that runs once until its deadline (504 after 4 s; 7.6 s under load, the parser loops), and a stream that could have gone on elsewhere got 504. A response that dripped until the deadline did not count against its runner: of 6 requests 5 failed at the same runner. Operators saw each such runner cost up to 400 kB in a head, 8 MB in a body and 1 MB in an event.

The entry now counts what a connection receives below the parser.

--- a/crates/core/src/gateway/events.rs
+++ b/crates/core/src/gateway/events.rs
@@ -7,9 +7,9 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
-/// Maximum size of buffered data, in bytes: a stream whose event never ends
-/// must not exhaust the memory.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Maximum size of buffered data, in bytes. Streams whose events never end must not
+/// exhaust the memory together.
+const MAX_EVENT_BYTES: usize = 32 * 1024;
 
 /// Why a stream cannot be forwarded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,10 +9,9 @@
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
-use hyper::body::Incoming;
+use hyper::body::Frame;
+use tokio::time::Instant;
 use wisteriawick_core::gateway::AttemptOutcome;
 use wisteriawick_core::gateway::EventSplitter;
 use wisteriawick_core::gateway::RetryPolicy;
@@ -25,17 +24,18 @@
 use wisteriawick_platform::runner_request_headers;
 
 use crate::gateway::exchange::Exchange;
+use crate::gateway::response_body::BodyError;
+use crate::gateway::response_body::ResponseBody;
 use crate::gateway::runner_slot::RunnerSlot;
 use crate::gateway::state::lock;
 use crate::gateway::upstream::SendError;
 use crate::gateway::upstream::Upstream;
 
-/// Maximum size of a response that is not a stream, in bytes. It is buffered until
-/// it is complete.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 /// Time without a first event after which a stream is retried at another runner,
 /// before its caller disconnects.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Longest time from the first byte of an event to its end.
+const EVENT_END_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Share of its remaining time after which an idempotent request is retried at
 /// another runner.
 const IDEMPOTENT_TIMEOUT_SHARE: f64 = 0.4;
@@ -61,7 +61,7 @@
 pub(crate) struct StreamSource {
     pub(crate) slot: RunnerSlot,
     pub(crate) upstream: Upstream,
-    pub(crate) body: Incoming,
+    pub(crate) body: ResponseBody,
     pub(crate) head: ResponseHead,
     pub(crate) splitter: EventSplitter,
     pub(crate) sequence: SequenceChecker,
@@ -196,7 +196,7 @@
 
 struct StreamStart {
     upstream: Upstream,
-    body: Incoming,
+    body: ResponseBody,
     head: ResponseHead,
     headers: HeaderMap,
     splitter: EventSplitter,
@@ -211,7 +211,8 @@
 ) -> Result<ResponseStart, FailedAttempt> {
     let mut upstream = connect(exchange, slot).await?;
     let req = build_request(exchange, slot, last_event)?;
-    let res = match upstream.send(req).await {
+    let begun = || slot.response_begun(exchange.deadline);
+    let res = match upstream.send(req, begun).await {
         Ok(res) => res,
         Err(SendError::NotSent(detail)) => {
             return Err(FailedAttempt::new(AttemptOutcome::NotSent, detail));
@@ -221,6 +222,7 @@
             return Err(FailedAttempt::connection_broken(detail));
         }
     };
+    slot.response_begun(exchange.deadline);
     let (parts, body) = res.into_parts();
     let head = ResponseHead::new(parts.status, &parts.headers);
     if head.is_not_executed {
@@ -315,18 +317,21 @@
     upstream: Upstream,
     head: ResponseHead,
     headers: HeaderMap,
-    body: Incoming,
+    body: ResponseBody,
 ) -> Result<BufferedResponse, FailedAttempt> {
-    let body = match Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES)
-        .collect()
-        .await
-    {
-        Ok(body) => body.to_bytes(),
+    let body = match body.collect(&exchange.state.body_budget).await {
+        Ok(body) => body,
+        // The lack of room says nothing about the runner.
+        Err(e @ BodyError::NoRoom) => {
+            return Err(FailedAttempt::new(AttemptOutcome::Unknown, e.to_string()));
+        }
+        Err(e @ BodyError::Broken(_)) => {
+            slot.set_outcome(RunnerOutcome::Failed);
+            return Err(FailedAttempt::connection_broken(e.to_string()));
+        }
         Err(e) => {
             slot.set_outcome(RunnerOutcome::Failed);
-            return Err(FailedAttempt::connection_broken(format!(
-                "reading the response failed: {e}"
-            )));
+            return Err(FailedAttempt::new(AttemptOutcome::Unknown, e.to_string()));
         }
     };
     slot.set_outcome(match head.status {
@@ -366,7 +371,7 @@
     upstream: Upstream,
     head: ResponseHead,
     headers: HeaderMap,
-    mut body: Incoming,
+    mut body: ResponseBody,
     last_event: Option<u64>,
 ) -> Result<StreamStart, FailedAttempt> {
     let mut splitter = EventSplitter::default();
@@ -399,22 +404,23 @@
 ///
 /// Returns the reason why the stream cannot be forwarded any further.
 pub(crate) async fn next_event(
-    body: &mut Incoming,
+    body: &mut ResponseBody,
     splitter: &mut EventSplitter,
     sequence: &mut SequenceChecker,
 ) -> Result<Option<Bytes>, String> {
+    let mut event_end = EventEnd::new(body);
     loop {
         if let Some(event) = splitter.next_event() {
             sequence.accept(&event).map_err(describe_fault)?;
             return Ok(Some(event));
         }
-        match body.frame().await {
+        match event_end.wait_for_frame(body, splitter).await? {
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
                     splitter.push(&data).map_err(describe_fault)?;
                 }
             }
-            Some(Err(e)) => return Err(format!("reading the stream failed: {e}")),
+            Some(Err(e)) => return Err(e.to_string()),
             None if splitter.is_within_event() => {
                 return Err("the stream ended within an event".into());
             }
@@ -423,6 +429,62 @@
     }
 }
 
+/// Finds out when bytes arrive without completing an event.
+struct EventEnd {
+    /// When the event must have ended, if a part of it has arrived.
+    due: Option<Instant>,
+    /// End of the current interval in which bytes are counted.
+    interval_end: Instant,
+    /// Bytes on the connection up to the start of that interval.
+    counted: u64,
+    /// Whether the first interval is over. It may hold the end of the framing of the
+    /// event before.
+    is_first_over: bool,
+}
+
+impl EventEnd {
+    fn new(body: &ResponseBody) -> Self {
+        Self {
+            due: None,
+            interval_end: Instant::now() + EVENT_END_TIMEOUT,
+            counted: body.received(),
+            is_first_over: false,
+        }
+    }
+
+    /// Waits for the next part of the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an event has begun and does not end in time, or if bytes keep arriving
+    /// that are no part of an event.
+    async fn wait_for_frame(
+        &mut self,
+        body: &mut ResponseBody,
+        splitter: &EventSplitter,
+    ) -> Result<Option<Result<Frame<Bytes>, BodyError>>, String> {
+        if splitter.is_within_event() && self.due.is_none() {
+            self.due = Some(Instant::now() + EVENT_END_TIMEOUT);
+        }
+        loop {
+            let until = self.due.unwrap_or(self.interval_end);
+            if let Ok(frame) = tokio::time::timeout_at(until, body.frame()).await {
+                return Ok(frame);
+            }
+            if self.due.is_some() {
+                return Err("an event did not end in time".into());
+            }
+            let received = body.received();
+            if self.is_first_over && received > self.counted {
+                return Err("bytes arrived that are no event".into());
+            }
+            self.is_first_over = true;
+            self.counted = received;
+            self.interval_end = Instant::now() + EVENT_END_TIMEOUT;
+        }
+    }
+}
+
 fn describe_fault(fault: StreamFault) -> String {
     match fault {
         StreamFault::OutOfOrder => "an event does not follow the last one".into(),
--- a/src/gateway/runner_slot.rs
+++ b/src/gateway/runner_slot.rs
@@ -12,13 +12,16 @@
 /// A slot at a runner that one request occupies.
 ///
 /// Dropping it reports the outcome to the pool. The outcome is
-/// [`RunnerOutcome::Abandoned`] unless another one was set.
+/// [`RunnerOutcome::Abandoned`] unless another one was set or the runner's response
+/// began and did not end in time.
 #[derive(Debug)]
 pub(crate) struct RunnerSlot {
     state: Arc<GatewayState>,
     service: ServiceId,
     pub(crate) runner: ListedRunner,
     outcome: RunnerOutcome,
+    /// When a response that has begun must have ended.
+    response_due: Option<Instant>,
     /// When the slot was acquired.
     pub(crate) acquired_at: Instant,
 }
@@ -31,6 +34,7 @@
             service,
             runner,
             outcome: RunnerOutcome::Abandoned,
+            response_due: None,
         }
     }
 
@@ -38,11 +42,21 @@
     pub(crate) fn set_outcome(&mut self, outcome: RunnerOutcome) {
         self.outcome = outcome;
     }
+
+    /// Records that the response has begun, and when it must have ended.
+    pub(crate) fn response_begun(&mut self, due: Instant) {
+        self.response_due = Some(due);
+    }
 }
 
 impl Drop for RunnerSlot {
     fn drop(&mut self) {
+        let is_overdue = self.response_due.is_some_and(|due| self.state.now() >= due);
+        let outcome = match self.outcome {
+            RunnerOutcome::Abandoned if is_overdue => RunnerOutcome::Failed,
+            outcome => outcome,
+        };
         self.state
-            .request_ended(&self.service, &self.runner.id, self.outcome);
+            .request_ended(&self.service, &self.runner.id, outcome);
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -44,6 +44,7 @@
 use wisteriawick_platform::StoreClient;
 
 use crate::eventlog::EventLog;
+use crate::gateway::response_body::BodyBudget;
 use crate::gateway::stop::Stop;
 use crate::gateway::upstream::UpstreamPool;
 use crate::telemetry;
@@ -81,6 +82,7 @@
     pub(crate) log: EventLog,
     pub(crate) store: StoreClient,
     pub(crate) upstreams: UpstreamPool,
+    pub(crate) body_budget: BodyBudget,
     latest_declaration: Mutex<LatestDeclaration>,
     pub(crate) runner_registry: Mutex<RunnerRegistry>,
     services: Mutex<HashMap<ServiceId, ServiceState>>,
@@ -114,6 +116,7 @@
         Self {
             store: StoreClient::new(settings.store),
             upstreams: UpstreamPool::default(),
+            body_budget: BodyBudget::default(),
             latest_declaration: Mutex::default(),
             runner_registry: Mutex::default(),
             services: Mutex::default(),
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -5,6 +5,7 @@
 //! stop working on the request.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
@@ -13,7 +14,6 @@
 use http::Request;
 use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -22,12 +22,21 @@
 use tokio::task::AbortHandle;
 use wisteriawick_core::collections::HashMap;
 
+use crate::gateway::received::CountedStream;
+use crate::gateway::received::ReceivedBytes;
+use crate::gateway::response_body::ResponseBody;
 use crate::gateway::state::lock;
 
 /// Longest time to establish a connection. Data centres are milliseconds apart.
 /// TCP resends a lost SYN only after a second, and by then another runner is the
 /// better choice.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Size of a connection's read buffer, and largest head of a response, in bytes.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
+/// Most bytes of interim responses before the head of the final one.
+const MAX_INTERIM_BYTES: u64 = 64 * 1024;
+/// Longest time from the first byte of a response to the end of its head.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time after which a connection with unacknowledged data is broken.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Idle time before the first TCP keepalive probe, and between probes.
@@ -44,6 +53,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
     address: SocketAddr,
+    received: Arc<ReceivedBytes>,
 }
 
 impl Drop for Upstream {
@@ -126,7 +136,11 @@
             .map_err(|e| not_sent(&e))?
             .map_err(|e| not_sent(&e))?;
         enable_dead_peer_detection(&stream).map_err(|e| not_sent(&e))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let received = Arc::new(ReceivedBytes::default());
+        let stream = CountedStream::new(stream, Arc::clone(&received));
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| not_sent(&e))?;
         // An error of the connection is also returned by the request on it.
@@ -137,25 +151,45 @@
             sender,
             task: task.abort_handle(),
             address,
+            received,
         })
     }
 
-    /// Sends a request and waits for the response head.
+    /// Sends a request and waits for the response head. Calls `begun` if the
+    /// head has begun and has not ended.
     pub(crate) async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
+        begun: impl FnOnce(),
+    ) -> Result<Response<ResponseBody>, SendError> {
         self.sender
             .ready()
             .await
             .map_err(|e| SendError::NotSent(e.to_string()))?;
-        self.sender.try_send_request(req).await.map_err(|mut e| {
+        let before = self.received.count();
+        let received = &self.received;
+        let overdue = async {
+            received.exceed(before).await;
+            begun();
+            let limit = received.exceed(before + MAX_INTERIM_BYTES);
+            match tokio::time::timeout(HEAD_TIMEOUT, limit).await {
+                Ok(()) => "too many interim responses",
+                Err(_) => "the head of the response did not end in time",
+            }
+        };
+        let result = tokio::select! {
+            biased;
+            result = self.sender.try_send_request(req) => result,
+            problem = overdue => return Err(SendError::MayHaveRun(problem.into())),
+        };
+        let res = result.map_err(|mut e| {
             let text = e.error().to_string();
             match e.take_message() {
                 Some(_) => SendError::NotSent(text),
                 None => SendError::MayHaveRun(text),
             }
-        })
+        })?;
+        Ok(res.map(|body| ResponseBody::new(body, Arc::clone(received))))
     }
 }
 
