--- a/tests/endless_memory.rs
+++ b/tests/endless_memory.rs
@@ -1,4 +1,5 @@
-//! Peak memory of an entry process while a hundred runners send bytes without end.
+//! Peak memory of an entry process while a hundred runners, or the store, send bytes
+//! without end.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -7,6 +8,8 @@
 use std::process::Stdio;
 use std::time::Duration;
 
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -28,23 +31,44 @@
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 /// Timeout of the requests.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
-/// Most memory that the runners may cost, in kB.
+/// Time for which an entry runs beside a store.
+const STORE_TIME: Duration = Duration::from_secs(3);
+/// Most memory that they may cost, in kB.
 const MAX_GROWTH_KB: u64 = 16 * 1024;
 
 /// A process that is killed when the test ends.
-struct Process(Child);
+struct Process {
+    child: Child,
+    settings: PathBuf,
+}
 
 impl Drop for Process {
     fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
     }
 }
 
 impl Process {
+    fn start(name: &str, callers: SocketAddr, store: SocketAddr) -> Self {
+        let file = format!("wisteriawick-endless-{}-{name}.toml", std::process::id());
+        let settings = std::env::temp_dir().join(file);
+        let text = entry_settings("entry-test", callers, free_address(), store);
+        std::fs::write(&settings, text).expect("the settings file is written");
+        let child = Command::new(env!("CARGO_BIN_EXE_wisteriawick"))
+            .arg("entry")
+            .env(SETTINGS_VARIABLE, &settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the binary starts");
+        Self { child, settings }
+    }
+
     /// Returns the peak of the resident memory in kB.
     fn peak_kb(&self) -> u64 {
-        let path = format!("/proc/{}/status", self.0.id());
+        let path = format!("/proc/{}/status", self.child.id());
         let status = std::fs::read_to_string(path).expect("the process runs");
         let line = status
             .lines()
@@ -105,21 +129,8 @@
         runner.register(&store, "s", "ready");
         runners.push(runner);
     }
-    let file: PathBuf = std::env::temp_dir().join(format!(
-        "wisteriawick-endless-{}-{name}.toml",
-        std::process::id()
-    ));
     let callers = free_address();
-    let text = entry_settings("entry-test", callers, free_address(), store.address());
-    std::fs::write(&file, text).expect("the settings file is written");
-    let child = Command::new(env!("CARGO_BIN_EXE_wisteriawick"))
-        .arg("entry")
-        .env(SETTINGS_VARIABLE, &file)
-        .stdin(Stdio::null())
-        .stdout(Stdio::null())
-        .spawn()
-        .expect("the binary starts");
-    let process = Process(child);
+    let process = Process::start(name, callers, store.address());
     wait_until_it_serves(callers).await;
     for runner in &runners {
         runner.set_behavior(behavior);
@@ -137,10 +148,48 @@
         reached > RUNNERS * 9 / 10,
         "{name}: {reached} runners reached"
     );
-    std::fs::remove_file(file).expect("the settings file exists");
     process.peak_kb()
 }
 
+/// Returns the peak memory of an entry beside a store.
+async fn peak_beside_store(name: &str, store: SocketAddr) -> u64 {
+    let process = Process::start(name, free_address(), store);
+    tokio::time::sleep(STORE_TIME).await;
+    process.peak_kb()
+}
+
+/// Starts a store that sends a body without end on each connection.
+async fn endless_store() -> SocketAddr {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let address = listener.local_addr().expect("bound");
+    let chunk = format!("4000\r\n{}\r\n", "x".repeat(0x4000));
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let chunk = chunk.clone();
+            tokio::spawn(async move {
+                let mut sent = stream.write_all(HEAD.as_bytes()).await;
+                while sent.is_ok() {
+                    sent = stream.write_all(chunk.as_bytes()).await;
+                }
+            });
+        }
+    });
+    address
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_sends_without_end_costs_little_memory() {
+    let teardown = CancellationToken::new();
+    let _guard = teardown.clone().drop_guard();
+    let store = Store::start(teardown.clone()).await.expect("loopback");
+    let base = peak_beside_store("store", store.address()).await;
+    let peak = peak_beside_store("endless-store", endless_store().await).await;
+    let growth = peak.saturating_sub(base);
+    println!("healthy store: {base} kB; endless store: {peak} kB, {growth} kB more");
+    assert!(growth < MAX_GROWTH_KB, "{growth} kB more");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_hundred_runners_that_send_without_end_cost_little_memory() {
     let plain = peak_with("none", RunnerBehavior::Normal, "/once/").await;
