--- a/src/agent/endpoint.rs
+++ b/src/agent/endpoint.rs
@@ -23,6 +23,8 @@
 
 /// Most idle connections that are kept for reuse.
 const MAX_IDLE_CONNECTIONS: usize = 64;
+/// Size of a connection's read buffer, and largest head of a response, in bytes.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Longest time to connect to the endpoint, which runs on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two health probes.
@@ -122,7 +124,9 @@
         stream
             .set_nodelay(true)
             .map_err(|e| not_sent(e.to_string()))?;
-        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| not_sent(e.to_string()))?;
         // The sender's calls report an error of the connection, so it is ignored here.
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -28,6 +28,8 @@
 use crate::settings::PlatformSettings;
 use crate::telemetry::PLATFORM_CALLS;
 
+/// Size of a connection's read buffer, and largest head of a response, in bytes.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Largest response body that is accepted, in bytes.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
@@ -82,6 +84,7 @@
             http: Client::builder(TokioExecutor::new())
                 // A hidden retry could apply a write twice.
                 .retry_canceled_requests(false)
+                .http1_max_buf_size(READ_BUFFER_BYTES)
                 .build(connector),
             limit: Arc::new(Mutex::new(limit)),
             clock,
