Calls to an engine about expert maps end in time

An engine that did not respond, or sent bytes one at a time, kept the agent's call open for good: orders were never reported as unknown, so the agent did not read the state back, and each reading of the load left another task and connection behind.

A call ends after 2 s, the staging of a map after 60 s, since an engine may load weights for it. The result is unknown, as after a lost response.

--- a/src/agent/maps/engine.rs
+++ b/src/agent/maps/engine.rs
@@ -1,6 +1,7 @@
 //! The client of an engine: sends it orders about expert maps and reads its load.
 
 use std::future::Future;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Method;
@@ -25,6 +26,11 @@
 /// Largest response of an engine, in bytes.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
+/// Longest time of a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time to stage a map, for which an engine may load weights.
+const STAGE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// The load that an engine reports.
 #[derive(Clone, Debug, Deserialize)]
 pub struct EngineLoad {
@@ -61,6 +67,19 @@
         Self { endpoint }
     }
 
+    /// Sends a request; returns the status and the body of a response that is complete
+    /// within the time limit. Otherwise the connection is closed.
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        limit: Duration,
+    ) -> Option<(StatusCode, Bytes)> {
+        let exchange = self.exchange(method, path, body);
+        tokio::time::timeout(limit, exchange).await.ok()?
+    }
+
     async fn exchange(
         &self,
         method: Method,
@@ -88,7 +107,7 @@
     async fn read_back(&self) -> EngineReport {
         let unknown = EngineReport::Unknown(EngineOrder::ReadBack);
         let Some((StatusCode::OK, body)) = self
-            .exchange(Method::GET, "/v1/engine/map", Bytes::new())
+            .call(Method::GET, "/v1/engine/map", Bytes::new(), CALL_TIMEOUT)
             .await
         else {
             return unknown;
@@ -122,7 +141,11 @@
             }
         };
         let body = Bytes::from(body.to_string());
-        match self.exchange(Method::POST, path, body).await {
+        let limit = match order {
+            EngineOrder::Stage(..) => STAGE_TIMEOUT,
+            _ => CALL_TIMEOUT,
+        };
+        match self.call(Method::POST, path, body, limit).await {
             Some((status, _)) if status.is_success() => EngineReport::Done(order),
             Some((status, _)) if status.is_client_error() => EngineReport::Refused(order),
             _ => EngineReport::Unknown(order),
@@ -131,7 +154,7 @@
 
     async fn load(&self) -> Option<EngineLoad> {
         let (status, body) = self
-            .exchange(Method::GET, "/v1/engine/load", Bytes::new())
+            .call(Method::GET, "/v1/engine/load", Bytes::new(), CALL_TIMEOUT)
             .await?;
         if status != StatusCode::OK {
             return None;
