A stream that drips goes on elsewhere though its runner's group makes passes

While the agents reported passes of a group, the entry took the silence of a stream there for a queue and waited: a runner that sent a head, the size or the extension of a chunk, or an event one byte at a time held its caller until the deadline (504; callers leave after 2 s). The first bounds on events (1.2 s after the first part, two intervals of 1.2 s for framing) were too long for the stream to begin elsewhere: 502.

An event must now end 0.6 s after its first byte, and bytes that are no part of an event may arrive for 0.1 s after the event before; if more arrive in the 1.2 s that follow, the attempt ends.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -35,7 +35,11 @@
 /// before its caller disconnects.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// Longest time from the first byte of an event to its end.
-const EVENT_END_TIMEOUT: Duration = Duration::from_millis(1_200);
+const EVENT_END_TIMEOUT: Duration = Duration::from_millis(600);
+/// Interval at which bytes are counted that are no part of an event.
+const FRAMING_INTERVAL: Duration = Duration::from_millis(1_200);
+/// Time after an event in which the rest of its framing may arrive.
+const FRAMING_REST_TIME: Duration = Duration::from_millis(100);
 /// Share of its remaining time after which an idempotent request is retried at
 /// another runner.
 const IDEMPOTENT_TIMEOUT_SHARE: f64 = 0.4;
@@ -437,18 +441,17 @@
     interval_end: Instant,
     /// Bytes on the connection up to the start of that interval.
     counted: u64,
-    /// Whether the first interval is over. It may hold the end of the framing of the
-    /// event before.
-    is_first_over: bool,
+    /// Whether the rest of the framing of the event before has had time to arrive.
+    is_framing_over: bool,
 }
 
 impl EventEnd {
     fn new(body: &ResponseBody) -> Self {
         Self {
             due: None,
-            interval_end: Instant::now() + EVENT_END_TIMEOUT,
+            interval_end: Instant::now() + FRAMING_REST_TIME,
             counted: body.received(),
-            is_first_over: false,
+            is_framing_over: false,
         }
     }
 
@@ -475,12 +478,12 @@
                 return Err("an event did not end in time".into());
             }
             let received = body.received();
-            if self.is_first_over && received > self.counted {
+            if self.is_framing_over && received > self.counted {
                 return Err("bytes arrived that are no event".into());
             }
-            self.is_first_over = true;
+            self.is_framing_over = true;
             self.counted = received;
-            self.interval_end = Instant::now() + EVENT_END_TIMEOUT;
+            self.interval_end = Instant::now() + FRAMING_INTERVAL;
         }
     }
 }
