--- a/src/gateway/load_reports.rs
+++ b/src/gateway/load_reports.rs
@@ -94,16 +94,16 @@
         GroupMessage::Load(_) | GroupMessage::Entries(_) => return REDIAL_DELAY,
     };
     let fields = json!({"group": group, "agent": agent.to_string()});
-    state
-        .log
-        .line(EventCategory::State, "leader_met", fields.clone());
-    while let Ok(message) = link.recv::<GroupMessage>().await {
-        match message {
-            GroupMessage::Load(load) => state.update_loads(service, &reports(&group, &load)),
-            GroupMessage::Entries(count) => state.update_entry_count(count),
-            GroupMessage::Position(_) => {}
+    state.log.line(EventCategory::State, "leader_met", fields);
+    let error = loop {
+        match link.recv::<GroupMessage>().await {
+            Ok(GroupMessage::Load(load)) => state.update_loads(service, &reports(&group, &load)),
+            Ok(GroupMessage::Entries(count)) => state.update_entry_count(count),
+            Ok(GroupMessage::Position(_)) => {}
+            Err(e) => break e.to_string(),
         }
-    }
+    };
+    let fields = json!({"group": group, "agent": agent.to_string(), "error": error});
     state.log.line(EventCategory::State, "leader_lost", fields);
     REDIAL_DELAY
 }
