A link that is replaced keeps its streams until they end

Callers saw: when the platform's list gave a running agent another address, the entries closed their links to it at once. Streams in progress were resumed, at the cost of the retry budget, and those that it didn't cover ended with 'no runner took the request', outcome unknown.

Cause: the directory cancels the former dialer, which dropped the control stream; the accepting end then closed the connection with all its streams.

Change: a cancelled dialer reports nothing more, exchanges heartbeats until no stream is open on its link, and then closes it.

Measured: streams_on_a_link_that_is_replaced_continue_on_it (20 streams, one runner) failed before with that message; now all 20 streams are complete and none is resumed. tests/leaving.rs: 4 passed.

--- a/src/link/dial.rs
+++ b/src/link/dial.rs
@@ -107,6 +107,8 @@
 }
 
 /// Starts a task that keeps a link to a process open until the token is cancelled.
+///
+/// The task then reports nothing more, and closes the link when its streams have ended.
 pub fn spawn_dialer(
     node: Arc<Node>,
     peer: ProcessId,
@@ -121,10 +123,7 @@
             address,
             events,
         };
-        tokio::select! {
-            () = dialer.run() => {}
-            () = cx.cancelled() => {}
-        }
+        dialer.run(&cx).await;
     });
 }
 
@@ -136,34 +135,54 @@
 }
 
 impl Dialer {
-    async fn run(&self) {
+    async fn run(&self, cx: &CancellationToken) {
         let mut delay = MIN_REDIAL_DELAY;
         loop {
-            if let Ok((link, control)) = self.connect().await {
+            let connected = tokio::select! {
+                connected = self.connect() => connected,
+                () = cx.cancelled() => return,
+            };
+            if let Ok((link, control)) = connected {
                 delay = MIN_REDIAL_DELAY;
                 self.node
                     .timeline
                     .record(EventKind::LinkUp(self.peer.clone()));
                 let up = LinkEvent::Up(self.peer.clone(), link.clone());
-                if self.events.send(up).await.is_err() {
+                if !self.report(up, cx).await {
+                    return;
+                }
+                self.exchange_heartbeats(control, &link.activity, cx).await;
+                if cx.is_cancelled() {
+                    link.connection.close(0u32.into(), b"closed");
                     return;
                 }
-                self.exchange_heartbeats(control, &link.activity).await;
                 link.connection.close(0u32.into(), b"no heartbeat");
                 counter!(LINKS_LOST).increment(1);
                 self.node
                     .timeline
                     .record(EventKind::LinkDown(self.peer.clone()));
                 let down = LinkEvent::Down(self.peer.clone());
-                if self.events.send(down).await.is_err() {
+                if !self.report(down, cx).await {
                     return;
                 }
             }
-            tokio::time::sleep(delay).await;
+            tokio::select! {
+                () = tokio::time::sleep(delay) => {}
+                () = cx.cancelled() => return,
+            }
             delay = (delay * 2).min(MAX_REDIAL_DELAY);
         }
     }
 
+    /// Reports an event; returns whether it was sent before the token was cancelled.
+    async fn report(&self, event: LinkEvent, cx: &CancellationToken) -> bool {
+        tokio::select! {
+            biased;
+            () = cx.cancelled() => false,
+            sent = self.events.send(event) => sent.is_ok(),
+        }
+    }
+
     async fn connect(&self) -> Result<(Link, (FrameWriter, FrameReader))> {
         let error = |message: String| Error::Link {
             peer: self.peer.to_string(),
@@ -227,19 +246,30 @@
         }
     }
 
-    /// Exchanges heartbeats until one gets no reply in time or the control stream ends.
+    /// Exchanges heartbeats until one gets no reply in time, the control stream ends, or the
+    /// token is cancelled and no stream is open.
     async fn exchange_heartbeats(
         &self,
         (mut tx, mut rx): (FrameWriter, FrameReader),
         activity: &Activity,
+        cx: &CancellationToken,
     ) {
         let mut number = 0;
+        let mut closing = false;
         let mut unanswered_since: Option<tokio::time::Instant> = None;
         let next = tokio::time::sleep(Duration::ZERO);
         tokio::pin!(next);
         loop {
             tokio::select! {
+                () = cx.cancelled(), if !closing => {
+                    closing = true;
+                    // Until then, tasks that hold the link have learned of its end.
+                    next.as_mut().reset(tokio::time::Instant::now() + HEARTBEAT_INTERVAL_IN_USE);
+                }
                 () = &mut next => {
+                    if closing && !activity.is_used() {
+                        return;
+                    }
                     if unanswered_since.is_some_and(|since| since.elapsed() > HEARTBEAT_TIMEOUT) {
                         return;
                     }
@@ -268,7 +298,7 @@
                     };
                     if heartbeat.echo == number {
                         unanswered_since = None;
-                        let interval = if activity.is_used() {
+                        let interval = if closing || activity.is_used() {
                             HEARTBEAT_INTERVAL_IN_USE
                         } else {
                             HEARTBEAT_INTERVAL_IDLE
@@ -276,6 +306,9 @@
                         next.as_mut().reset(tokio::time::Instant::now() + interval);
                     }
                     self.node.timeline.observe(heartbeat.stamp.into());
+                    if closing {
+                        continue;
+                    }
                     let event = LinkEvent::Heartbeat(self.peer.clone(), heartbeat);
                     if self.events.send(event).await.is_err() {
                         return;
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -6,9 +6,12 @@
 use futures_util::future::join_all;
 use support::Fixture;
 use support::assert_complete;
+use support::eventually;
 use support::small_fleet;
 use support::stream;
 use support::with_timeout;
+use tokio_util::sync::CancellationToken;
+use wisteriawick_standins::relay::Relay;
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn an_agent_that_shuts_down_under_load_completes_every_response() {
@@ -73,3 +76,31 @@
     assert_eq!(fixture.engine("llm-2").requests(), before);
     fixture.stop();
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn streams_on_a_link_that_is_replaced_continue_on_it() {
+    let mut spec = small_fleet();
+    spec.services[0].runners = 1;
+    let mut fixture = Fixture::start(spec).await;
+    let agent = fixture.fleet.runners["llm-1"].agent.clone();
+    let relay = Relay::start(agent.link_address, CancellationToken::new())
+        .await
+        .expect("a relay");
+    let streams = join_all((0..20).map(|index| {
+        let http = fixture.http.clone();
+        let entry = fixture.entry(index % 2);
+        async move {
+            let prompt = format!("moved {index}");
+            let response = stream(&http, entry, &prompt, 400).await;
+            assert_complete(&response, &prompt, 400);
+        }
+    }));
+    let engine = fixture.engine("llm-1");
+    let move_link = async {
+        eventually(|| engine.requests() == 20).await;
+        fixture.fleet.set_instance_address("llm-1", relay.addr());
+    };
+    with_timeout(async { tokio::join!(streams, move_link) }).await;
+    assert_eq!(engine.requests(), 20, "no stream had to be resumed");
+    fixture.stop();
+}
