A leaving agent waits for attempts that are still arriving

Callers saw: an attempt whose bytes were still arriving when its agent ended was lost with the link, so its outcome was unknown although it had not run.

Cause: a shutdown counted a stream only when its request had been read. It also didn't wait until the reply to a recovery had arrived, which can be the only evidence that an attempt ran.

Change: the listener counts a stream from its first byte, and the shutdown waits until all replies have arrived.

Measured: an_attempt_that_is_still_arriving_at_a_leaving_agent_is_refused failed before ('connection lost'); now the attempt is refused as Leaving. tests/leaving.rs: 5 passed. The wait for the reply to a recovery has no test.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -89,12 +89,12 @@
             endpoint: Endpoint::new(role.endpoint_address),
             maps: maps.clone(),
         };
-        let stream_tracker = open_streams.clone();
         let link_address = spawn_listener(
             Arc::clone(&node),
             settings.link_address,
+            open_streams.clone(),
             cx.clone(),
-            move |stream| stream_tracker.track_future(handler.clone().handle(stream)),
+            move |stream| handler.clone().handle(stream),
         )?;
         Ok(Self {
             node,
--- a/src/agent/stream_handler.rs
+++ b/src/agent/stream_handler.rs
@@ -95,6 +95,8 @@
     // If the link was lost, the peer sends its request again on its next link.
     let _ = tx.write(&reply).await;
     tx.finish();
+    // A shutdown waits for this task, which ends only when the reply has arrived.
+    tx.stopped().await;
 }
 
 fn attempt_query(
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -117,6 +117,7 @@
         let link_address = spawn_listener(
             Arc::clone(&node),
             settings.link_address,
+            TaskTracker::new(),
             cx.clone(),
             move |stream| {
                 let (node, shards) = (Arc::clone(&listener_node), shards.clone());
--- a/src/link/listen.rs
+++ b/src/link/listen.rs
@@ -10,6 +10,7 @@
 use metrics::counter;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use wisteriawick_core::gate::LinkClock;
 use wisteriawick_core::ids::Incarnation;
 use wisteriawick_core::ids::ProcessId;
@@ -62,7 +63,8 @@
 
 /// Starts a task that accepts links, and returns the bound address.
 ///
-/// The handler runs on a task of its own for each stream that a peer opens.
+/// The handler runs on a task of its own for each stream that a peer opens. The tracker
+/// counts these tasks from the first byte of a stream, also while the request arrives.
 ///
 /// # Errors
 ///
@@ -70,6 +72,7 @@
 pub fn spawn_listener<H, F>(
     node: Arc<Node>,
     address: SocketAddr,
+    streams: TaskTracker,
     cx: CancellationToken,
     handler: H,
 ) -> Result<SocketAddr>
@@ -84,7 +87,7 @@
     let tls = node.tls.borrow().server();
     let endpoint = quinn::Endpoint::server(tls, address).map_err(listen_error)?;
     let bound = endpoint.local_addr().map_err(listen_error)?;
-    tokio::spawn(accept(node, endpoint, Arc::new(handler), cx));
+    tokio::spawn(accept(node, endpoint, Arc::new(handler), streams, cx));
     Ok(bound)
 }
 
@@ -92,6 +95,7 @@
     node: Arc<Node>,
     endpoint: quinn::Endpoint,
     handler: Arc<H>,
+    streams: TaskTracker,
     cx: CancellationToken,
 ) where
     H: Fn(InboundStream) -> F + Send + Sync + 'static,
@@ -112,6 +116,7 @@
         };
         let node = Arc::clone(&node);
         let handler = Arc::clone(&handler);
+        let streams = streams.clone();
         let cx = cx.clone();
         tokio::spawn(async move {
             let Ok(connection) = incoming.await else {
@@ -119,7 +124,7 @@
                 return;
             };
             tokio::select! {
-                () = serve(&node, &connection, &handler) => {}
+                () = serve(&node, &connection, &handler, &streams) => {}
                 () = cx.cancelled() => {}
             }
             connection.close(0u32.into(), b"closed");
@@ -128,8 +133,12 @@
     endpoint.close(0u32.into(), b"closed");
 }
 
-async fn serve<H, F>(node: &Arc<Node>, connection: &quinn::Connection, handler: &Arc<H>)
-where
+async fn serve<H, F>(
+    node: &Arc<Node>,
+    connection: &quinn::Connection,
+    handler: &Arc<H>,
+    streams: &TaskTracker,
+) where
     H: Fn(InboundStream) -> F + Send + Sync + 'static,
     F: Future<Output = ()> + Send + 'static,
 {
@@ -142,7 +151,7 @@
     let link = Arc::new(link);
     tokio::select! {
         () = exchange_heartbeats(node, &link, tx, rx) => {}
-        () = accept_streams(connection, &link, handler) => {}
+        () = accept_streams(connection, &link, handler, streams) => {}
     }
 }
 
@@ -209,6 +218,7 @@
     connection: &quinn::Connection,
     link: &Arc<AcceptedLink>,
     handler: &Arc<H>,
+    streams: &TaskTracker,
 ) where
     H: Fn(InboundStream) -> F + Send + Sync + 'static,
     F: Future<Output = ()> + Send + 'static,
@@ -216,7 +226,7 @@
     while let Ok((tx, rx)) = connection.accept_bi().await {
         let link = Arc::clone(link);
         let handler = Arc::clone(handler);
-        tokio::spawn(async move {
+        streams.spawn(async move {
             let (tx, mut rx) = (FrameWriter::new(tx), FrameReader::new(rx));
             let Ok(Some(request)) = rx.read::<StreamRequest>().await else {
                 counter!(UNAUTHENTICATED_PEERS).increment(1);
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -3,6 +3,11 @@
 
 mod support;
 
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
 use futures_util::future::join_all;
 use support::Fixture;
 use support::assert_complete;
@@ -10,7 +15,19 @@
 use support::small_fleet;
 use support::stream;
 use support::with_timeout;
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
+use wisteriawick::agent::Agent;
+use wisteriawick::link::AttemptWire;
+use wisteriawick::link::Link;
+use wisteriawick::link::LinkEvent;
+use wisteriawick::link::RefusalWire;
+use wisteriawick::link::Reply;
+use wisteriawick::link::StreamRequest;
+use wisteriawick::link::spawn_dialer;
+use wisteriawick::node::Node;
+use wisteriawick::settings::Settings;
+use wisteriawick_core::time::SystemClock;
 use wisteriawick_standins::relay::Relay;
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -104,3 +121,83 @@
     assert_eq!(engine.requests(), 20, "no stream had to be resumed");
     fixture.stop();
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_attempt_that_is_still_arriving_at_a_leaving_agent_is_refused() {
+    let fixture = Fixture::start(small_fleet()).await;
+    let agent = fixture.fleet.runners["jobs-1"].agent.clone();
+    let link = open_link(&fixture, "entry-8", &agent).await;
+    let attempt = StreamRequest::Attempt(AttemptWire {
+        attempt: 1,
+        meant_for: agent.node.incarnation.0,
+        remaining_us: 30_000_000,
+        sent_us: 0,
+        suspect: false,
+        stream: false,
+        resume_from: 0,
+        term: None,
+        fingerprint: 1,
+        method: "POST".into(),
+        path: "/bookings".into(),
+        content_type: "application/json".into(),
+        body: Bytes::from(vec![b' '; 7 * 1024 * 1024]),
+    });
+    let (mut tx, mut rx) = link.open_stream().await.expect("a stream");
+    tx.push(&attempt).expect("the attempt fits in a frame");
+    let reply = {
+        let flush = tx.flush();
+        tokio::pin!(flush);
+        // The first part is sent, as much as the link takes at a time.
+        let first = tokio::time::timeout(Duration::ZERO, &mut flush).await;
+        assert!(first.is_err(), "the whole attempt was sent at once");
+        let rest = async {
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            flush.await.expect("the link is open");
+            rx.read::<Reply>().await.expect("the link is open")
+        };
+        with_timeout(async { tokio::join!(rest, agent.shut_down()) })
+            .await
+            .0
+    };
+    assert!(
+        matches!(reply, Some(Reply::Refused(RefusalWire::Leaving))),
+        "{reply:?}"
+    );
+    fixture.stop();
+}
+
+/// Opens a link to an agent as an entry does.
+async fn open_link(fixture: &Fixture, name: &str, agent: &Agent) -> Link {
+    let tls = fixture
+        .fleet
+        .issue_certificate(name)
+        .expect("a certificate");
+    let text = format!(
+        "name = \"{name}\"\nplace = \"p1\"\nlink_address = \"127.0.0.1:0\"\n\n\
+         [platform]\naddress = \"{}\"\n\n\
+         [tls]\nca_file = {:?}\ncert_file = {:?}\nkey_file = {:?}\n\n\
+         [entry]\nhttp_address = \"127.0.0.1:0\"\nops_address = \"127.0.0.1:0\"\n\
+         ops_token_hashes = []\n",
+        fixture.fleet.platform.addr(),
+        tls.ca_file,
+        tls.cert_file,
+        tls.key_file
+    );
+    let settings = Settings::parse(Path::new("entry.toml"), &text).expect("valid settings");
+    let node = Node::new(&settings, Arc::new(SystemClock), None).expect("a node");
+    let (events, mut rx) = mpsc::channel(64);
+    let peer = agent.node.name.clone();
+    let address = agent.link_address;
+    spawn_dialer(node, peer, address, events, CancellationToken::new());
+    let link = with_timeout(async {
+        loop {
+            if let Some(LinkEvent::Up(_, link)) = rx.recv().await {
+                return link;
+            }
+        }
+    })
+    .await;
+    // The dialer closes the link when nobody receives its events.
+    tokio::spawn(async move { while rx.recv().await.is_some() {} });
+    link
+}
