A stopping entry ends when the last response is written, not when its call ends

Callers saw, of an entry that had got SIGTERM: - a response that was read slowly was cut off (2.8 of 8.4 MB arrived); - a request whose body was still arriving got no response; - a new connection was accepted by the system after the entry had stopped to accept, and got no response until the process ended; - a response on a kept connection didn't say that the connection would close.

Cause: the shutdown waited for the tasks of calls, not for the connections, and the HTTP server keeps its listener open until it returns.

Change: HttpServer closes the listener first, then the connections without a request, and waits until the others have written their responses. While an entry is leaving, its responses carry 'Connection: close'.

The functions that start processes moved from tests/processes.rs to tests/support/process.rs.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod directory;
 mod http_api;
+mod http_server;
 mod inbound;
 mod ledger_client;
 mod ledger_task;
@@ -21,12 +22,8 @@
 use std::time::Duration;
 
 use metrics_exporter_prometheus::PrometheusHandle;
-use salvo::conn::Acceptor;
-use salvo::conn::Listener;
-use salvo::conn::TcpListener;
-use salvo::conn::tcp::TcpAcceptor;
-use salvo::server::ServerHandle;
 use tokio::sync::watch;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use wisteriawick_core::ids::ProcessId;
@@ -37,6 +34,7 @@
 
 use crate::entry::directory::Directory;
 use crate::entry::directory::LinkTable;
+use crate::entry::http_server::HttpServer;
 use crate::entry::ledger_client::LedgerClient;
 use crate::entry::ledger_task::LedgerHandle;
 use crate::entry::router_task::RouterHandle;
@@ -53,6 +51,9 @@
 /// balancer stops sending requests before connections are refused.
 const NOT_READY_DELAY: Duration = Duration::from_millis(500);
 
+/// Longest time in which a shutdown writes responses to operators.
+const OPS_STOP_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// What the tasks of an entry share.
 #[derive(Debug)]
 pub(crate) struct EntryContext {
@@ -79,8 +80,8 @@
     /// Address of the HTTP port for operators.
     pub ops_address: SocketAddr,
     context: Arc<EntryContext>,
-    http: ServerHandle,
-    ops: ServerHandle,
+    http: HttpServer,
+    ops: HttpServer,
     cx: CancellationToken,
 }
 
@@ -140,15 +141,15 @@
         let reload_cx = cx.clone();
         tokio::spawn(async move { reload_node.reload_tls(&tls, reload_cx).await });
 
-        let (http_address, http) =
-            serve(role.http_address, http_api::routes(Arc::clone(&context))).await?;
-        let (ops_address, ops) =
-            serve(role.ops_address, ops_api::routes(Arc::clone(&context))).await?;
+        let http_routes = http_api::routes(Arc::clone(&context));
+        let http = HttpServer::start(role.http_address, http_routes).await?;
+        let ops_routes = ops_api::routes(Arc::clone(&context));
+        let ops = HttpServer::start(role.ops_address, ops_routes).await?;
         Ok(Self {
             node,
             link_address,
-            http_address,
-            ops_address,
+            http_address: http.address,
+            ops_address: ops.address,
             context,
             http,
             ops,
@@ -174,35 +175,20 @@
     }
 
     /// Shuts down gracefully: reports not ready, stops accepting requests, finishes the
-    /// calls in progress and then stops all tasks.
+    /// requests in progress and then stops all tasks.
     pub async fn shut_down(&self) {
         self.node.leave();
         tokio::time::sleep(NOT_READY_DELAY).await;
-        self.http.stop_graceful(None);
-        self.context.calls.close();
-        self.context.calls.wait().await;
-        self.ops.stop_graceful(Duration::from_millis(100));
+        self.finish_requests().await;
+        // An operator whose request is cut off sends it to another entry.
+        let _ = timeout(OPS_STOP_TIMEOUT, self.ops.stop()).await;
         self.cx.cancel();
     }
-}
 
-/// Serves HTTP at an address; returns the bound address and a handle to stop the server.
-async fn serve(address: SocketAddr, routes: salvo::Router) -> Result<(SocketAddr, ServerHandle)> {
-    let listen_error = |message: String| Error::Listen {
-        address: address.to_string(),
-        message,
-    };
-    let acceptor: TcpAcceptor = TcpListener::new(address)
-        .try_bind()
-        .await
-        .map_err(|e| listen_error(e.to_string()))?;
-    let bound = acceptor
-        .holdings()
-        .first()
-        .and_then(|holding| holding.local_addr.clone().into_std())
-        .ok_or_else(|| listen_error("no local address".into()))?;
-    let server = salvo::Server::new(acceptor);
-    let handle = server.handle();
-    tokio::spawn(server.serve(routes));
-    Ok((bound, handle))
+    /// Stops accepting requests and waits until all responses are written and recorded.
+    async fn finish_requests(&self) {
+        self.http.stop().await;
+        self.context.calls.close();
+        self.context.calls.wait().await;
+    }
 }
--- a/src/entry/http_api.rs
+++ b/src/entry/http_api.rs
@@ -91,6 +91,10 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
+        if self.context.node.is_leaving() {
+            let close = HeaderValue::from_static("close");
+            res.headers_mut().insert(http::header::CONNECTION, close);
+        }
         match self.operation {
             Operation::Live => text_response(res, StatusCode::OK, "live"),
             Operation::Ready => readiness_response(&self.context, res),
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -2,83 +2,21 @@
 
 mod support;
 
-use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::Child;
 use std::process::Command;
 
 use http::StatusCode;
 use support::Fixture;
-use support::HttpClient;
 use support::eventually;
+use support::process::free_address;
+use support::process::instance;
+use support::process::is_ready;
+use support::process::spawn;
 use support::small_fleet;
 use support::with_timeout;
 use tokio_util::sync::CancellationToken;
 use wisteriawick::command::dev::DEV_OPERATOR_TOKEN;
 use wisteriawick_core::fleet::KeyHash;
 use wisteriawick_standins::plain::PlainService;
-use wisteriawick_standins::platform::Instance;
-
-/// A child process that is killed when the test ends.
-struct Process(Child);
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-fn free_address() -> SocketAddr {
-    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("an address")
-}
-
-/// Writes a settings file and starts the program with it.
-fn spawn(fixture: &Fixture, role: &str, name: &str, link: SocketAddr, section: &str) -> Process {
-    let tls = fixture
-        .fleet
-        .issue_certificate(name)
-        .expect("a certificate");
-    let text = format!(
-        "name = \"{name}\"\nplace = \"p1\"\nlink_address = \"{link}\"\n\n\
-         [platform]\naddress = \"{}\"\nlist_every_ms = 300\n\n\
-         [tls]\nca_file = {:?}\ncert_file = {:?}\nkey_file = {:?}\n\n\
-         [log]\nlevel = \"error\"\n\n{section}",
-        fixture.fleet.platform.addr(),
-        tls.ca_file,
-        tls.cert_file,
-        tls.key_file
-    );
-    let file: PathBuf = fixture.fleet.dir.join(format!("{name}.toml"));
-    std::fs::write(&file, text).expect("the settings file is written");
-    let child = Command::new(env!("CARGO_BIN_EXE_wisteriawick"))
-        .arg(role)
-        .arg("--config")
-        .arg(&file)
-        .spawn()
-        .expect("the binary starts");
-    Process(child)
-}
-
-fn instance(name: &str, role: &str, service: &str, address: SocketAddr) -> Instance {
-    Instance {
-        name: name.into(),
-        role: role.into(),
-        service: service.into(),
-        place: "p1".into(),
-        address: address.to_string(),
-        state: "live".into(),
-    }
-}
-
-/// Returns whether an entry accepts callers and is ready.
-async fn is_ready(http: &HttpClient, to: SocketAddr) -> bool {
-    if tokio::net::TcpStream::connect(to).await.is_err() {
-        return false;
-    }
-    http.get(to, "/readyz").await.status == StatusCode::OK
-}
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn separate_processes_serve_and_complete_requests_on_shutdown() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, unreachable_pub)]
 
+pub mod process;
+
 use std::future::Future;
 use std::net::SocketAddr;
 use std::path::PathBuf;
