--- a/tests/tickets.rs
+++ b/tests/tickets.rs
@@ -5,9 +5,12 @@
 
 use std::path::Path;
 
+use futures_util::future::join_all;
 use support::Fixture;
 use support::assert_complete;
+use support::eventually;
 use support::small_fleet;
+use support::stream;
 use wisteriawick::command::ticket;
 
 /// Writes a ticket that sets the queue limit of the model service.
@@ -143,3 +146,41 @@
     assert!(error.contains("ticket 2 is missing"), "{error}");
     std::fs::remove_dir_all(dir).expect("removed");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn tickets_that_lower_limits_and_remove_objects_let_running_requests_finish() {
+    let fixture = Fixture::start(small_fleet()).await;
+    let streams = join_all((0..30).map(|index| {
+        let http = fixture.http.clone();
+        let entry = fixture.entry(index % 2);
+        async move {
+            let prompt = format!("kept {index}");
+            let response = stream(&http, entry, &prompt, 600).await;
+            assert_complete(&response, &prompt, 600);
+        }
+    }));
+    let dir = fixture.fleet.ticket_dir();
+    let lower = "number = 2\ntitle = \"lower\"\n\n[service.llm]\nkind = \"model\"\n\
+                 max_in_flight = 1\nmax_queue = 1\n";
+    let remove = "number = 3\ntitle = \"remove\"\n\n[[remove]]\nkind = \"workspace\"\n\
+                  name = \"alpha\"\n\n[[remove]]\nkind = \"workspace\"\nname = \"beta\"\n\n\
+                  [[remove]]\nkind = \"service\"\nname = \"llm\"\n";
+    std::fs::write(dir.join("0002.toml"), lower).expect("the ticket is written");
+    std::fs::write(dir.join("0003.toml"), remove).expect("the ticket is written");
+    let client = ticket::platform_client(fixture.fleet.platform.addr());
+    let apply = async {
+        let engines = fixture.engines();
+        eventually(|| engines.iter().map(|e| e.requests()).sum::<u64>() == 30).await;
+        ticket::apply(&dir, &client, "submitter-1")
+            .await
+            .expect("accepted");
+        fixture.fleet.wait_until_in_force(3).await;
+    };
+    tokio::join!(streams, apply);
+    let engines = fixture.engines();
+    let runs = engines.iter().map(|e| e.requests()).sum::<u64>();
+    assert_eq!(runs, 30, "no stream had to be resumed");
+    let refused = fixture.stream(0, "too late", 2).await;
+    assert!(refused.is_err());
+    fixture.stop();
+}
