A leaving agent waits until a reply whose link was lost can be recovered

Callers saw: the outcome unknown for a request that had run, when the entry lost its link to an agent that was shutting down (for example an entry that was paused for more than a second): the agent ended as soon as the request had, before the entry's next link.

Cause: the shutdown took the end of the stream for the arrival of the reply.

Change: an attempt whose reply did not arrive counts as open for two seconds more, in which the entry dials again and asks for the reply.

--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -37,6 +37,8 @@
 pub(crate) const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 /// Largest event of a streamed response, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Time in which an entry that lost its link dials again and recovers a reply.
+const RECOVERY_DURATION: Duration = Duration::from_secs(2);
 /// Request header with the number of events that the caller already has, so that the
 /// endpoint resumes the stream after them.
 const RESUME_HEADER: &str = "x-resume-events";
@@ -93,8 +95,11 @@
     // If the link was lost, the entry can recover the reply from the gate.
     let _ = tx.write(&reply).await;
     tx.finish();
-    // A shutdown waits for this task, which ends only when the reply has arrived.
-    tx.stopped().await;
+    // A shutdown waits for this task, which ends only when the reply has arrived or the
+    // entry had the time to recover it.
+    if !tx.delivered().await {
+        tokio::time::sleep(RECOVERY_DURATION).await;
+    }
 }
 
 async fn run_at_endpoint(
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -104,6 +104,12 @@
             let _ = stopped.await;
         }
     }
+
+    /// Waits until the peer has received everything or reads no further; returns false if
+    /// the link was lost before.
+    pub(crate) async fn delivered(&self) -> bool {
+        self.stream.stopped().await.is_ok()
+    }
 }
 
 /// Reads frames from a stream.
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -23,6 +23,7 @@
 use wisteriawick::link::AttemptWire;
 use wisteriawick::link::Link;
 use wisteriawick::link::LinkEvent;
+use wisteriawick::link::OutcomeQuery;
 use wisteriawick::link::RefusalWire;
 use wisteriawick::link::Reply;
 use wisteriawick::link::StreamRequest;
@@ -128,22 +129,8 @@
 async fn an_attempt_that_is_still_arriving_at_a_leaving_agent_is_refused() {
     let fixture = Fixture::start(small_fleet()).await;
     let agent = fixture.fleet.runners["jobs-1"].agent.clone();
-    let link = open_link(&fixture, "entry-8", &agent).await;
-    let attempt = StreamRequest::Attempt(AttemptWire {
-        attempt: 1,
-        meant_for: agent.node.incarnation.0,
-        remaining_us: 30_000_000,
-        sent_us: 0,
-        suspect: false,
-        stream: false,
-        resume_from: 0,
-        term: None,
-        fingerprint: 1,
-        method: "POST".into(),
-        path: "/bookings".into(),
-        content_type: "application/json".into(),
-        body: Bytes::from(vec![b' '; 7 * 1024 * 1024]),
-    });
+    let (link, _events) = open_link(&fixture, "entry-8", &agent).await;
+    let attempt = booking_attempt(&agent, Bytes::from(vec![b' '; 7 * 1024 * 1024]));
     let (mut tx, mut rx) = link.open_stream().await.expect("a stream");
     tx.push(&attempt).expect("the attempt fits in a frame");
     let reply = {
@@ -198,8 +185,67 @@
     fixture.stop();
 }
 
-/// Opens a link to an agent as an entry does.
-async fn open_link(fixture: &Fixture, name: &str, agent: &Agent) -> Link {
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_reply_whose_link_was_lost_is_recovered_from_a_leaving_agent() {
+    let fixture = Fixture::start(small_fleet()).await;
+    let agent = fixture.fleet.runners["jobs-1"].agent.clone();
+    let (link, events) = open_link(&fixture, "entry-8", &agent).await;
+    let body = Bytes::from("{\"id\":\"van-8\",\"wait_ms\":2000}");
+    let (mut tx, mut rx) = link.open_stream().await.expect("a stream");
+    tx.write(&booking_attempt(&agent, body))
+        .await
+        .expect("the link is open");
+    tx.finish();
+    let bookings = fixture.fleet.bookings.clone();
+    eventually(|| bookings.runs().contains_key("van-8")).await;
+    let recover = async {
+        drop(events);
+        let lost = rx.read::<Reply>().await;
+        assert!(lost.is_err(), "the link is closed: {lost:?}");
+        // The booking ends without a link, and the entry's next link opens after that.
+        tokio::time::sleep(Duration::from_millis(2_300)).await;
+        let (link, _events) = open_link(&fixture, "entry-8", &agent).await;
+        let query = StreamRequest::Recover(OutcomeQuery {
+            attempt: 1,
+            meant_for: agent.node.incarnation.0,
+            remaining_us: 20_000_000,
+            sent_us: 0,
+        });
+        link.request(&query).await.expect("the link is open")
+    };
+    let (reply, ()) = with_timeout(async { tokio::join!(recover, agent.shut_down()) }).await;
+    assert!(
+        matches!(reply, Reply::Response { status: 200, .. }),
+        "{reply:?}"
+    );
+    fixture.stop();
+}
+
+/// Returns an attempt at a booking.
+fn booking_attempt(agent: &Agent, body: Bytes) -> StreamRequest {
+    StreamRequest::Attempt(AttemptWire {
+        attempt: 1,
+        meant_for: agent.node.incarnation.0,
+        remaining_us: 30_000_000,
+        sent_us: 0,
+        suspect: false,
+        stream: false,
+        resume_from: 0,
+        term: None,
+        fingerprint: 1,
+        method: "POST".into(),
+        path: "/bookings".into(),
+        content_type: "application/json".into(),
+        body,
+    })
+}
+
+/// Opens a link to an agent as an entry does. It closes when its events are dropped.
+async fn open_link(
+    fixture: &Fixture,
+    name: &str,
+    agent: &Agent,
+) -> (Link, mpsc::Receiver<LinkEvent>) {
     let tls = fixture
         .fleet
         .issue_certificate(name)
@@ -229,7 +275,5 @@
         }
     })
     .await;
-    // The dialer closes the link when nobody receives its events.
-    tokio::spawn(async move { while rx.recv().await.is_some() {} });
-    link
+    (link, rx)
 }
