--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -138,6 +138,7 @@
                     if has_restarted {
                         known.health = Health::new(now);
                         known.clear_report();
+                        known.record_sign_of_life(now);
                     }
                     known.listed = listed;
                     known.is_unlisted = false;
@@ -216,6 +217,9 @@
         }
         if let Some(runner) = self.runners.get_mut(id) {
             runner.request_ended(now);
+            if outcome.is_sign_of_life() {
+                runner.record_sign_of_life(now);
+            }
             match outcome {
                 RunnerOutcome::Served => runner.health.record_served(now),
                 RunnerOutcome::Abandoned => {}
@@ -265,9 +269,17 @@
     /// requests. Returns the requests that leave the queue.
     pub fn response_began(&mut self, now: Instant, id: &RunnerId) -> Vec<DequeuedRequest> {
         self.mark_group_open(id);
+        self.record_sign_of_life(now, id);
         self.dispatch_queued(now)
     }
 
+    /// Records that a runner sent an event of a stream.
+    pub fn record_sign_of_life(&mut self, now: Instant, id: &RunnerId) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.record_sign_of_life(now);
+        }
+    }
+
     fn mark_group_open(&mut self, id: &RunnerId) {
         if self.refusing_groups.is_empty() {
             return;
@@ -327,17 +339,35 @@
         dequeued
     }
 
+    /// Returns whether a runner outside `excluded` could take a request now.
+    pub fn has_room_except(&self, now: Instant, excluded: &[RunnerId]) -> bool {
+        let excludes_ejected = self.excludes_ejected(now);
+        self.runners
+            .values()
+            .any(|runner| self.is_eligible(now, runner, excluded, excludes_ejected))
+    }
+
+    fn is_eligible(
+        &self,
+        now: Instant,
+        runner: &Runner,
+        excluded: &[RunnerId],
+        excludes_ejected: bool,
+    ) -> bool {
+        runner.accepts_requests(now)
+            && !(excludes_ejected && runner.health.is_ejected(now))
+            && self.group_may_be_tried(now, runner)
+            && runner.has_room(now, &self.limits)
+            && !excluded.contains(&runner.listed.id)
+    }
+
     fn select(&mut self, now: Instant, request: &QueuedRequest) -> Option<Selection> {
         let excludes_ejected = self.excludes_ejected(now);
         let mut rng = self.rng.clone();
         let best = self
             .runners
             .values()
-            .filter(|runner| runner.accepts_requests(now))
-            .filter(|runner| !excludes_ejected || !runner.health.is_ejected(now))
-            .filter(|runner| self.group_may_be_tried(now, runner))
-            .filter(|runner| runner.has_room(now, &self.limits))
-            .filter(|runner| !request.excluded.contains(&runner.listed.id))
+            .filter(|runner| self.is_eligible(now, runner, &request.excluded, excludes_ejected))
             .map(|runner| {
                 let spread = match runner.fresh_report(now) {
                     Some(_) => SPREAD_REQUESTS * rng.random::<f64>(),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -30,6 +30,7 @@
 use crate::gateway::attempt::StreamSource;
 use crate::gateway::exchange::Exchange;
 use crate::gateway::exchange::RequestAttempts;
+use crate::gateway::exchange::SlotUse;
 use crate::gateway::exchange::acquire_slot;
 use crate::gateway::exchange::next_step;
 use crate::gateway::response::Body;
@@ -87,27 +88,45 @@
 impl StreamRelay {
     /// Returns the next event; `None` at the end of the stream.
     async fn next(&mut self) -> Option<std::io::Result<Bytes>> {
-        let deadline = self.exchange.deadline;
-        let next = self.next_or_resume();
-        match tokio::time::timeout_at(deadline.into(), next).await {
-            Ok(event) => event,
-            Err(_) => {
-                self.exchange.log(
+        let exchange = Arc::clone(&self.exchange);
+        let deadline = exchange.deadline.into();
+        tokio::select! {
+            event = self.next_or_resume() => event,
+            () = tokio::time::sleep_until(deadline) => {
+                exchange.log(
                     EventCategory::Failure,
                     "timed_out",
                     json!({"events": self.event_count}),
                 );
-                self.exchange.count_outcome("timed out");
+                exchange.count_outcome("timed out");
+                self.record_times();
                 self.source = None;
                 Some(Err(std::io::ErrorKind::TimedOut.into()))
             }
+            () = exchange.state.stop.wait_until_finished() => {
+                self.log_cut_off();
+                exchange.count_outcome("cut off");
+                self.source = None;
+                Some(Err(std::io::ErrorKind::ConnectionAborted.into()))
+            }
         }
     }
 
+    fn log_cut_off(&self) {
+        let slot = self.source.as_ref().map(|source| &source.slot);
+        let placed = slot.map(|slot| slot.acquired_at - self.exchange.arrived);
+        self.exchange.log_cut_off(json!({
+            "runner": slot.map(|slot| slot.runner.id.as_str()),
+            "placed_ms": placed.unwrap_or_default().as_millis() as u64,
+            "first_ms": self.latency.time_to_first_event().unwrap_or_default().as_millis() as u64,
+            "events": self.event_count,
+        }));
+    }
+
     async fn next_or_resume(&mut self) -> Option<std::io::Result<Bytes>> {
         loop {
             let source = self.source.as_mut()?;
-            match read_event(&self.exchange, source).await {
+            match read_event(&self.exchange, &self.attempts, source).await {
                 Ok(Some(event)) => {
                     self.count_event();
                     return Some(Ok(event));
@@ -135,7 +154,14 @@
     /// late.
     fn count_event(&mut self) {
         self.event_count += 1;
-        let cause = match self.latency.record_event(self.exchange.state.now()) {
+        let exchange = &self.exchange;
+        if let Some(source) = &self.source {
+            let runner = &source.slot.runner.id;
+            exchange
+                .state
+                .record_sign_of_life(&exchange.service, runner);
+        }
+        let cause = match self.latency.record_event(exchange.state.now()) {
             None => return,
             Some(LateCause::FirstEvent) => "first event",
             Some(LateCause::EventGap) => "pause",
@@ -155,6 +181,14 @@
             .log(EventCategory::Failure, "stream_late", fields);
     }
 
+    /// Records how long the stream took; returns the time to its first event.
+    fn record_times(&self) -> Duration {
+        let first = self.latency.time_to_first_event().unwrap_or_default();
+        let rest = self.exchange.age().saturating_sub(first);
+        self.exchange.record_times(first, rest);
+        first
+    }
+
     /// Completes a stream that ended normally and returns its connection to the pool.
     fn finish(&mut self) {
         let Some(mut source) = self.source.take() else {
@@ -162,15 +196,16 @@
         };
         let state = &self.exchange.state;
         source.slot.set_outcome(RunnerOutcome::Served);
-        if !source.head.closes_connection {
+        if !source.head.closes_connection && self.exchange.route_match.route.may_run_again() {
             state
                 .upstreams
                 .put_idle(state.now(), source.upstream, source.head.keep_alive);
         }
         lock(&state.crash_tracker).clear(self.exchange.fingerprint);
+        let first = self.record_times();
         let fields = json!({
             "events": self.event_count,
-            "first_ms": self.latency.time_to_first_event().unwrap_or_default().as_millis() as u64,
+            "first_ms": first.as_millis() as u64,
             "pause_ms": self.latency.longest_gap().as_millis() as u64,
             "runner": source.slot.runner.id.as_str(),
         });
@@ -199,11 +234,14 @@
             if step != NextStep::Again {
                 return false;
             }
-            let Ok(slot) = acquire_slot(&self.exchange, &self.attempts).await else {
+            let slot_use = SlotUse::Resume {
+                last_event_at: self.latency.last_at(),
+            };
+            let Ok(slot) = acquire_slot(&self.exchange, &self.attempts, slot_use).await else {
                 return false;
             };
             runner = slot.runner.id.clone();
-            match attempt::send(&self.exchange, slot, last).await {
+            match attempt::send(&self.exchange, &self.attempts, slot, last).await {
                 AttemptResult::Stream(stream) => {
                     let fields = json!({"runner": runner.as_str(), "after": last});
                     self.exchange.log(EventCategory::Failure, "resumed", fields);
@@ -220,6 +258,7 @@
 
 async fn read_event(
     exchange: &Exchange,
+    attempts: &RequestAttempts,
     source: &mut StreamSource,
 ) -> Result<Option<Bytes>, String> {
     if let Some(first) = source.first.take() {
@@ -227,7 +266,7 @@
     }
     let runner = source.slot.runner.id.clone();
     let next = attempt::next_event(&mut source.body, &mut source.splitter, &mut source.sequence);
-    attempt::wait_while_progressing(exchange, &runner, EVENT_TIMEOUT, next)
+    attempt::wait_unless_movable(exchange, attempts, &runner, EVENT_TIMEOUT, next)
         .await
         .unwrap_or_else(|| Err("no event in time".into()))
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -32,6 +32,7 @@
 use wisteriawick_core::gateway::PoolLimits;
 use wisteriawick_core::gateway::QueuedRequest;
 use wisteriawick_core::gateway::QueuedRequestId;
+use wisteriawick_core::gateway::ResponseTimes;
 use wisteriawick_core::gateway::RunnerOutcome;
 use wisteriawick_core::gateway::RunnerRegistry;
 use wisteriawick_core::gateway::ServiceTarget;
@@ -43,6 +44,7 @@
 use wisteriawick_platform::StoreClient;
 
 use crate::eventlog::EventLog;
+use crate::gateway::stop::Stop;
 use crate::gateway::upstream::UpstreamPool;
 use crate::telemetry;
 
@@ -65,6 +67,8 @@
 pub(crate) struct ServiceState {
     pub(crate) pool: Pool,
     pub(crate) budget: WindowedRetryBudget,
+    stream_times: ResponseTimes,
+    plain_times: ResponseTimes,
     /// Where the decision about each queued request is sent.
     waiters: HashMap<QueuedRequestId, oneshot::Sender<Admission>>,
 }
@@ -86,7 +90,7 @@
     next_queue_id: AtomicU64,
     /// Whether the store has listed the runners at least once.
     has_runner_list: AtomicBool,
-    is_stopping: AtomicBool,
+    pub(crate) stop: Stop,
 }
 
 /// The result of submitting a request to a pool.
@@ -118,7 +122,7 @@
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
             next_queue_id: AtomicU64::new(1),
             has_runner_list: AtomicBool::new(false),
-            is_stopping: AtomicBool::new(false),
+            stop: Stop::default(),
             settings,
             clock,
             log,
@@ -184,6 +188,8 @@
                 self.estimated_entries(now).into(),
                 bounds.retry_window,
             ),
+            stream_times: ResponseTimes::default(),
+            plain_times: ResponseTimes::default(),
             waiters: HashMap::default(),
         }
     }
@@ -244,11 +250,7 @@
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Relaxed)
-    }
-
-    pub(crate) fn set_stopping(&self) {
-        self.is_stopping.store(true, Ordering::Relaxed);
+        self.stop.schedule().is_some()
     }
 
     pub(crate) fn next_queue_id(&self) -> QueuedRequestId {
@@ -299,6 +301,15 @@
         .unwrap_or(false)
     }
 
+    /// Returns whether a runner outside `excluded` could take a request now.
+    pub(crate) fn has_room_except(&self, service: &ServiceId, excluded: &[RunnerId]) -> bool {
+        let now = self.now();
+        self.with_service(service, |service_state| {
+            service_state.pool.has_room_except(now, excluded)
+        })
+        .unwrap_or(false)
+    }
+
     /// Records that a runner began a response.
     pub(crate) fn response_began(&self, service: &ServiceId, runner: &RunnerId) {
         let now = self.now();
@@ -308,6 +319,14 @@
         });
     }
 
+    /// Records that a runner sent an event of a stream.
+    pub(crate) fn record_sign_of_life(&self, service: &ServiceId, runner: &RunnerId) {
+        let now = self.now();
+        self.with_service(service, |service_state| {
+            service_state.pool.record_sign_of_life(now, runner);
+        });
+    }
+
     /// Records that a request ended at a runner.
     pub(crate) fn request_ended(
         &self,
@@ -340,6 +359,14 @@
 }
 
 impl ServiceState {
+    /// Returns the times of the service's streams or of its other requests.
+    pub(crate) fn times(&mut self, is_streaming: bool) -> &mut ResponseTimes {
+        match is_streaming {
+            true => &mut self.stream_times,
+            false => &mut self.plain_times,
+        }
+    }
+
     /// Sends decisions to the tasks of queued requests. If the caller has
     /// disconnected, the assigned slot is released for the next request.
     fn deliver(&mut self, now: Instant, mut dequeued: Vec<DequeuedRequest>) {
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -7,7 +7,6 @@
 use http::StatusCode;
 use support::Fixture;
 use support::eventually;
-use support::process::free_address;
 use support::process::instance;
 use support::process::is_ready;
 use support::process::spawn;
@@ -16,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 use wisteriawick::command::dev::DEV_OPERATOR_TOKEN;
 use wisteriawick_core::fleet::KeyHash;
+use wisteriawick_standins::address::own_address;
 use wisteriawick_standins::plain::PlainService;
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -27,8 +27,8 @@
     let plain = PlainService::start("jobs-9".into(), 0, bookings, CancellationToken::new())
         .await
         .expect("a plain service");
-    let (agent_link, entry_link) = (free_address(), free_address());
-    let (http, ops) = (free_address(), free_address());
+    let (agent_link, entry_link) = (own_address(), own_address());
+    let (http, ops) = (own_address(), own_address());
     let section = format!(
         "[agent]\nservice = \"jobs\"\nendpoint_address = \"{}\"\n",
         plain.addr()
--- a/tests/stopping.rs
+++ b/tests/stopping.rs
@@ -13,7 +13,6 @@
 use support::Fixture;
 use support::eventually;
 use support::process::Process;
-use support::process::free_address;
 use support::process::instance;
 use support::process::is_ready;
 use support::process::spawn_with;
@@ -29,6 +28,7 @@
 use wisteriawick::command::dev::DevFleet;
 use wisteriawick::settings::Settings;
 use wisteriawick_core::fleet::KeyHash;
+use wisteriawick_standins::address::own_address;
 
 /// Longest time after the stop signal until an entry refuses connections.
 const LISTENER_CLOSED: Duration = Duration::from_secs(2);
@@ -49,7 +49,7 @@
     }
 
     async fn start_in(mut fixture: Fixture, keys: &str) -> Self {
-        let (link, http, ops) = (free_address(), free_address(), free_address());
+        let (link, http, ops) = (own_address(), own_address(), own_address());
         let section = format!(
             "[entry]\nhttp_address = \"{http}\"\nops_address = \"{ops}\"\n\
              ops_token_hashes = [\"{}\"]\n",
@@ -155,7 +155,7 @@
     let mut fixture = Fixture::start(spec).await;
     let ready = Arc::new(Notify::new());
     let endpoint = start_large_endpoint(SIZE, Arc::clone(&ready)).await;
-    let link = free_address();
+    let link = own_address();
     let section = format!("[agent]\nservice = \"jobs\"\nendpoint_address = \"{endpoint}\"\n");
     let _agent = spawn_with(&fixture, "agent", "jobs-9", link, "", &section);
     fixture
@@ -340,7 +340,7 @@
     let mut fixture = Fixture::start(spec).await;
     let ready = Arc::new(Notify::new());
     let endpoint = start_large_endpoint(1_000, ready).await;
-    let link = free_address();
+    let link = own_address();
     let section = format!("[agent]\nservice = \"jobs\"\nendpoint_address = \"{endpoint}\"\n");
     let keys = "shutdown_ms = 4000\n";
     let mut agent = spawn_with(&fixture, "agent", "jobs-9", link, keys, &section);
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -21,12 +21,6 @@
     }
 }
 
-/// Returns an address whose port was free a moment ago.
-pub fn free_address() -> SocketAddr {
-    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("an address")
-}
-
 /// Writes a settings file and starts the program with it.
 pub fn spawn(
     fixture: &Fixture,
