A request that reaches a dying endpoint is no longer blocked for its death

Callers saw: an innocent stream failed with "this request stopped several endpoints", when a poison request killed an endpoint that was about to take the stream as its next suspect.

Cause: after a lost connection the agent asked whether the endpoint accepts a new one. The system does until the port of the dead endpoint closes, so the endpoint stayed up at the gate, the poison request ended there, and the next suspect was admitted and died with the endpoint, which counted as its second death.

Change: the agent asks for a response of the health probe, for at most 500 ms, before the attempt ends at the gate. The stand-in's crashed engine serves nothing any more (it chose at random between a connection and its end), and its port can close late.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -67,6 +67,8 @@
     requests: u64,
     crashes: u64,
     stalled: bool,
+    /// Time from a crash until the port closes.
+    port_close_delay: Duration,
 }
 
 /// A handle to a running engine; all clones refer to the same engine.
@@ -129,6 +131,12 @@
         self.lock().stalled = stalled;
     }
 
+    /// Sets the time from a crash until the port closes. Meanwhile the system accepts
+    /// connections, and resets them when the port closes.
+    pub fn set_port_close_delay(&self, delay: Duration) {
+        self.lock().port_close_delay = delay;
+    }
+
     /// Crashes the engine: every connection drops, the port is closed until the
     /// restart, and the engine loses its state in a lockstep group.
     pub fn kill(&self) {
@@ -155,11 +163,14 @@
         loop {
             let incarnation = self.incarnation.lock().expect("no holder panics").clone();
             let engine = self.clone();
-            serve(listener, incarnation, move |req| {
+            let open_port = serve(listener, incarnation, move |req| {
                 let engine = engine.clone();
                 async move { engine.handle(req).await }
             })
             .await;
+            let port_close_delay = self.lock().port_close_delay;
+            tokio::time::sleep(port_close_delay).await;
+            drop(open_port);
             tokio::select! {
                 () = tokio::time::sleep(self.config.restart_delay) => {}
                 () = cx.cancelled() => return,
--- a/crates/standins/src/http_server.rs
+++ b/crates/standins/src/http_server.rs
@@ -57,8 +57,8 @@
 }
 
 /// Serves requests with `handle` until the token is cancelled, then drops every
-/// connection.
-pub async fn serve<H, F>(listener: TcpListener, cx: CancellationToken, handle: H)
+/// connection. Returns the listener, whose drop closes the port.
+pub async fn serve<H, F>(listener: TcpListener, cx: CancellationToken, handle: H) -> TcpListener
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
@@ -79,22 +79,25 @@
                 .await;
         }
     })
-    .await;
+    .await
 }
 
 /// Accepts connections and runs `handle` for each in a task of its own. Cancelling
-/// the token ends the accept loop and all tasks.
+/// the token ends the accept loop and all tasks. Returns the listener, whose drop closes
+/// the port.
 pub async fn accept_each<F>(
     listener: TcpListener,
     cx: CancellationToken,
     handle: impl Fn(TcpStream) -> F,
-) where
+) -> TcpListener
+where
     F: Future<Output = ()> + Send + 'static,
 {
     loop {
         let accepted = tokio::select! {
+            biased;
+            () = cx.cancelled() => return listener,
             accepted = listener.accept() => accepted,
-            () = cx.cancelled() => return,
         };
         let Ok((stream, _)) = accepted else {
             continue; // The client has to connect again.
@@ -103,8 +106,10 @@
         let cx = cx.clone();
         tokio::spawn(async move {
             tokio::select! {
-                () = connection => {}
+                // Nothing is served after the token is cancelled.
+                biased;
                 () = cx.cancelled() => {}
+                () = connection => {}
             }
         });
     }
--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -116,8 +116,9 @@
     };
     let died = matches!(result, EndpointResult::Died(_));
     if matches!(result, EndpointResult::NotSent | EndpointResult::Died(_)) {
-        gate.set_endpoint_up(endpoint.accepts_connections().await)
-            .await;
+        // The attempt ends at the gate after this, so that no other suspect starts at an
+        // endpoint that is dying.
+        gate.set_endpoint_up(endpoint.survived().await).await;
     }
     let reply = match result {
         EndpointResult::Response(reply) => reply,
--- a/src/agent/endpoint.rs
+++ b/src/agent/endpoint.rs
@@ -29,6 +29,9 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest time to wait for the response to a health probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest time to wait for a response that shows that the endpoint survived the loss of a
+/// connection.
+const SURVIVAL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Failed probes in a row after which the endpoint counts as down.
 const PROBE_FAILURES: u32 = 2;
 /// Path of the health probe.
@@ -132,9 +135,14 @@
         Ok(sender)
     }
 
-    /// Returns whether the endpoint accepts a new connection now.
-    pub(crate) async fn accepts_connections(&self) -> bool {
-        self.connect().await.is_ok()
+    /// Returns whether the endpoint responds after it closed a connection.
+    ///
+    /// An accepted connection does not show that: the system accepts connections until the
+    /// port of a dead endpoint closes.
+    pub(crate) async fn survived(&self) -> bool {
+        timeout(SURVIVAL_TIMEOUT, self.is_healthy())
+            .await
+            .unwrap_or(false)
     }
 
     async fn is_healthy(&self) -> bool {
--- a/tests/faults_on_the_wire.rs
+++ b/tests/faults_on_the_wire.rs
@@ -126,9 +126,13 @@
     silence_a_replaced_link_one_way(Direction::Replies).await;
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn a_request_that_kills_endpoints_is_blocked_after_the_second_death() {
+/// Sends a request that kills endpoints beside other streams. The port of an endpoint that
+/// died closes only after a delay.
+async fn kill_endpoints(port_close_delay: Duration) {
     let fixture = Fixture::start(small_fleet()).await;
+    for engine in fixture.engines() {
+        engine.set_port_close_delay(port_close_delay);
+    }
     let other_streams = join_all((0..40).map(|index| {
         let fixture = &fixture;
         async move {
@@ -152,6 +156,16 @@
     fixture.stop();
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_request_that_kills_endpoints_is_blocked_after_the_second_death() {
+    kill_endpoints(Duration::ZERO).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn no_other_request_is_blocked_while_the_port_of_a_dead_endpoint_is_open() {
+    kill_endpoints(Duration::from_millis(100)).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn keyed_calls_do_not_run_while_the_store_is_down_but_other_calls_succeed() {
     let fixture = Fixture::start(small_fleet()).await;
