A leaving agent waits long enough for an entry whose first dial fails

Seen: a_reply_whose_link_was_lost_is_recovered_from_a_leaving_agent failed after 60 s in one of 3 runs beside other load: the agent had ended before the entry's next link.

Cause: the agent kept a reply whose link was lost for 2 s. A dial may take 1 s for the handshake and 1 s for the hello frame, so an entry whose first dial failed came too late, and its caller got an unknown outcome for a request that had run. The test itself left 1.4 s of the 2 s for making a key pair and dialing.

The shutdown's limit bounds it as before. The test dials 2.2 s after the booking's end, which it now observes instead of waiting for a fixed time.

--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -37,8 +37,9 @@
 pub(crate) const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 /// Largest event of a streamed response, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
-/// Time in which an entry that lost its link dials again and recovers a reply.
-const RECOVERY_DURATION: Duration = Duration::from_secs(2);
+/// Time in which an entry that lost its link notices that, dials again, also if the first
+/// dial fails, and recovers a reply.
+const RECOVERY_DURATION: Duration = Duration::from_secs(5);
 /// Request header with the number of events that the caller already has, so that the
 /// endpoint resumes the stream after them.
 const RESUME_HEADER: &str = "x-resume-events";
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -33,6 +33,10 @@
 use wisteriawick_core::time::SystemClock;
 use wisteriawick_standins::relay::Relay;
 
+/// A dial that takes a little longer than its limits allow for the handshake and the hello
+/// frame, so that it fails and the next one succeeds.
+const SLOW_DIAL: Duration = Duration::from_millis(2_200);
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn an_agent_that_shuts_down_under_load_completes_every_response() {
     let fixture = Fixture::start(small_fleet()).await;
@@ -198,13 +202,16 @@
     tx.finish();
     let bookings = fixture.fleet.bookings.clone();
     eventually(|| bookings.runs().contains_key("van-8")).await;
+    let next = node(&fixture, "entry-8");
+    let load = agent.node.load.clone().expect("an agent has a load");
     let recover = async {
         drop(events);
         let lost = rx.read::<Reply>().await;
         assert!(lost.is_err(), "the link is closed: {lost:?}");
         // The booking ends without a link, and the entry's next link opens after that.
-        tokio::time::sleep(Duration::from_millis(2_300)).await;
-        let (link, _events) = open_link(&fixture, "entry-8", &agent).await;
+        eventually(|| load.report_for(&next.name).in_flight == 0).await;
+        tokio::time::sleep(SLOW_DIAL).await;
+        let (link, _events) = dial(next, &agent).await;
         let query = StreamRequest::Recover(OutcomeQuery {
             attempt: 1,
             meant_for: agent.node.incarnation.0,
@@ -246,6 +253,11 @@
     name: &str,
     agent: &Agent,
 ) -> (Link, mpsc::Receiver<LinkEvent>) {
+    dial(node(fixture, name), agent).await
+}
+
+/// Returns the state of an entry that has no links yet.
+fn node(fixture: &Fixture, name: &str) -> Arc<Node> {
     let tls = fixture
         .fleet
         .issue_certificate(name)
@@ -262,7 +274,11 @@
         tls.key_file
     );
     let settings = Settings::parse(Path::new("entry.toml"), &text).expect("valid settings");
-    let node = Node::new(&settings, Arc::new(SystemClock), None).expect("a node");
+    Node::new(&settings, Arc::new(SystemClock), None).expect("a node")
+}
+
+/// Opens a link to an agent. It closes when its events are dropped.
+async fn dial(node: Arc<Node>, agent: &Agent) -> (Link, mpsc::Receiver<LinkEvent>) {
     let (events, mut rx) = mpsc::channel(64);
     let peer = agent.node.name.clone();
     let address = agent.link_address;
