--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -194,6 +194,7 @@
     let fixture = Fixture::start(small_fleet()).await;
     let agent = fixture.fleet.runners["jobs-1"].agent.clone();
     let (link, events) = open_link(&fixture, "entry-8", &agent).await;
+    let next = node(&fixture, "entry-8");
     let body = Bytes::from("{\"id\":\"van-8\",\"wait_ms\":2000}");
     let (mut tx, mut rx) = link.open_stream().await.expect("a stream");
     tx.write(&booking_attempt(&agent, body))
@@ -202,7 +203,6 @@
     tx.finish();
     let bookings = fixture.fleet.bookings.clone();
     eventually(|| bookings.runs().contains_key("van-8")).await;
-    let next = node(&fixture, "entry-8");
     let load = agent.node.load.clone().expect("an agent has a load");
     let recover = async {
         drop(events);
