--- a/crates/core/src/gateway/response_times.rs
+++ b/crates/core/src/gateway/response_times.rs
@@ -32,7 +32,7 @@
 }
 
 impl ResponseTimes {
-    /// Records a request that ended, or that was given up because it took too long: the
+    /// Records a request that ended, or whose deadline passed before it did: the
     /// time until the first byte of its response, the time from then to the end, and the
     /// most tokens that the response could have.
     pub fn record(&mut self, first: Duration, rest: Duration, tokens: Option<u32>) {
--- a/crates/core/src/gateway/retry.rs
+++ b/crates/core/src/gateway/retry.rs
@@ -61,7 +61,7 @@
     }
 
     /// Returns whether the request may be sent to another runner if the attempt in
-    /// flight is given up, apart from the retry budget.
+    /// flight is cancelled, apart from the retry budget.
     pub fn may_move(&self) -> bool {
         self.may_run_again && self.reached + 1 < self.max_attempts
     }
--- a/crates/core/src/gateway/stop_schedule.rs
+++ b/crates/core/src/gateway/stop_schedule.rs
@@ -1,8 +1,8 @@
 //! What a stopping entry still takes, and until when it can finish it.
 //!
 //! The platform stops an entry with a signal and kills it at the end of the grace
-//! period. In between, the load balancer in front of the entries goes on sending
-//! callers until it has noticed that the entry is not ready, and callers go on using
+//! period. In between, the load balancer in front of the entries sends
+//! more callers until it has noticed that the entry is not ready, and callers keep using
 //! their open connections. A request that is cut off by the end of the process is lost
 //! to its caller, while one that is refused can be sent to another entry. A stopping
 //! entry therefore takes only what it can finish.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -15,6 +15,7 @@
 mod response;
 mod response_body;
 mod runner_slot;
+mod slot_request;
 mod state;
 mod stop;
 mod store_watch;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -18,16 +18,11 @@
 use metrics::counter;
 use metrics::histogram;
 use serde_json::json;
-use tokio::sync::oneshot;
-use wisteriawick_core::gateway::Admission;
 use wisteriawick_core::gateway::AttemptOutcome;
 use wisteriawick_core::gateway::Denied;
 use wisteriawick_core::gateway::NextStep;
-use wisteriawick_core::gateway::QueuedRequest;
-use wisteriawick_core::gateway::QueuedRequestId;
 use wisteriawick_core::gateway::RetryState;
 use wisteriawick_core::gateway::RouteMatch;
-use wisteriawick_core::gateway::RunnerOutcome;
 use wisteriawick_core::gateway::StopSchedule;
 use wisteriawick_core::ids::Fingerprint;
 use wisteriawick_core::ids::RunnerId;
@@ -45,9 +40,9 @@
 use crate::gateway::response::full_body;
 use crate::gateway::response::local_reply;
 use crate::gateway::response::response;
-use crate::gateway::runner_slot::RunnerSlot;
+use crate::gateway::slot_request::SlotUse;
+use crate::gateway::slot_request::acquire_slot;
 use crate::gateway::state::GatewayState;
-use crate::gateway::state::Placement;
 use crate::gateway::state::lock;
 use crate::telemetry;
 
@@ -61,9 +56,7 @@
 /// Time after which to retry a request that crashes runners.
 const RETRY_AFTER_BLOCKED: Duration = Duration::from_secs(30);
 /// Time after which to retry if no runner was free in time.
-const RETRY_AFTER_WAIT: Duration = Duration::from_millis(500);
-/// Time after which to retry a queued request that this process will not send any more.
-const RETRY_AFTER_STOP: Duration = Duration::from_millis(100);
+pub(crate) const RETRY_AFTER_WAIT: Duration = Duration::from_millis(500);
 /// Minimum time without an event after which callers disconnect from a stream. It
 /// is four times the latency target or eight times the maximum event gap if one of
 /// these is longer.
@@ -335,107 +328,9 @@
     step
 }
 
-/// What a slot is for.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum SlotUse {
-    /// To execute the request.
-    Start,
-    /// To resume a stream whose last event came at this time.
-    Resume { last_event_at: Instant },
-}
-
-/// Waits for a slot at a runner.
-///
-/// # Errors
-///
-/// Returns the time after which the caller should retry if no slot is free in time.
-pub(crate) async fn acquire_slot(
-    exchange: &Exchange,
-    attempts: &RequestAttempts,
-    slot_use: SlotUse,
-) -> Result<RunnerSlot, Duration> {
-    let state = &exchange.state;
-    let queue_id = state.next_queue_id();
-    let latest_start = exchange.latest_start(slot_use);
-    let request = QueuedRequest {
-        queue_id,
-        priority: exchange.route_match.priority(),
-        response_due: exchange.arrived + exchange.route_match.route.latency_target,
-        deadline: latest_start,
-        excluded: attempts.excluded.clone(),
-    };
-    let admission = match state.admit(&exchange.service, request) {
-        None => return Err(RETRY_AFTER_WAIT),
-        Some(Placement::Immediate(admission)) => admission,
-        Some(Placement::Queued(queue_id, rx)) => {
-            let mut queued = QueuedSlot {
-                exchange,
-                queue_id,
-                rx,
-            };
-            queued.wait(latest_start, slot_use).await?
-        }
-    };
-    match admission {
-        Admission::Run(selection) => Ok(RunnerSlot::new(
-            Arc::clone(state),
-            exchange.service.clone(),
-            selection.runner,
-        )),
-        Admission::Reject { retry_after } => Err(retry_after),
-        Admission::Wait => Err(RETRY_AFTER_WAIT),
-    }
-}
-
-/// A request's place in the queue. Dropping it removes the request from the queue, and
-/// releases a slot that was assigned to it and not taken.
-struct QueuedSlot<'a> {
-    exchange: &'a Exchange,
-    queue_id: QueuedRequestId,
-    rx: oneshot::Receiver<Admission>,
-}
-
-impl QueuedSlot<'_> {
-    async fn wait(
-        &mut self,
-        latest_start: Instant,
-        slot_use: SlotUse,
-    ) -> Result<Admission, Duration> {
-        let exchange = self.exchange;
-        let too_late = async {
-            match slot_use {
-                SlotUse::Start => {
-                    let stop = &exchange.state.stop;
-                    stop.wait_until_latest_start(|| exchange.expected_time())
-                        .await
-                }
-                SlotUse::Resume { .. } => std::future::pending().await,
-            }
-        };
-        tokio::select! {
-            decided = tokio::time::timeout_at(latest_start.into(), &mut self.rx) => match decided {
-                Ok(Ok(admission)) => Ok(admission),
-                _ => Err(RETRY_AFTER_WAIT),
-            },
-            () = too_late => Err(RETRY_AFTER_STOP),
-        }
-    }
-}
-
-impl Drop for QueuedSlot<'_> {
-    fn drop(&mut self) {
-        let state = &self.exchange.state;
-        let service = &self.exchange.service;
-        state.cancel(service, self.queue_id);
-        if let Ok(Admission::Run(selection)) = self.rx.try_recv() {
-            state.request_ended(service, &selection.runner.id, RunnerOutcome::Abandoned);
-        }
-    }
-}
-
 impl Exchange {
     /// Returns how long requests of this kind take, as far as this entry has seen.
-    fn expected_time(&self) -> Duration {
+    pub(crate) fn expected_time(&self) -> Duration {
         let is_streaming = self.route_match.route.is_streaming;
         let tokens = self.caller.max_response_tokens;
         self.state
@@ -481,7 +376,7 @@
     }
 
     /// Returns the latest time at which sending the request to a runner is useful.
-    fn latest_start(&self, slot_use: SlotUse) -> Instant {
+    pub(crate) fn latest_start(&self, slot_use: SlotUse) -> Instant {
         let route = &self.route_match.route;
         let caller_waits_from = match slot_use {
             SlotUse::Start => self.arrived,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -30,11 +30,11 @@
 use crate::gateway::attempt::StreamSource;
 use crate::gateway::exchange::Exchange;
 use crate::gateway::exchange::RequestAttempts;
-use crate::gateway::exchange::SlotUse;
-use crate::gateway::exchange::acquire_slot;
 use crate::gateway::exchange::next_step;
 use crate::gateway::response::Body;
 use crate::gateway::response::response;
+use crate::gateway::slot_request::SlotUse;
+use crate::gateway::slot_request::acquire_slot;
 use crate::gateway::state::lock;
 use crate::telemetry;
 
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -143,8 +143,8 @@
             .map_err(|e| not_sent(&e))?
             .map_err(|e| not_sent(&e))?;
         enable_dead_peer_detection(&stream, PEER_USER_TIMEOUT).map_err(|e| not_sent(&e))?;
-        // Closing the connection resets it. A request that is given up then doesn't arrive
-        // late if the network still holds it.
+        // Closing the connection resets it. A cancelled request that the network still
+        // holds is then not delivered late.
         SockRef::from(&stream)
             .set_linger(Some(Duration::ZERO))
             .map_err(|e| not_sent(&e))?;
