Soak: planned stops in overlapping series, callers that keep their connections

The soak's callers opened a connection for each request and were led away before SIGTERM, so it could not see what a caller on an open connection loses. Every other caller now keeps its connection, and a new mix sends series of SIGTERM and SIGHUP to several entries at once, or to all, beside streams that last for longer than half of the grace period. Only these outcomes pass: served whole, refused and not run, closed and not run. A signal goes to a process only until it is reaped; before, a hang-up could go to a process id that was free again.

--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -9,8 +9,8 @@
 use crate::report::Report;
 use crate::report::Target;
 
-/// Runs the seeds from `seed` to `seed + runs - 1`, and returns whether all runs
-/// finished without a violated invariant.
+/// Runs the seeds from `seed` to `seed + runs - 1`, each with any faults and with planned
+/// stops alone, and returns whether all runs finished without a violated invariant.
 pub(crate) async fn run(seed: u64, runs: u64, report: &mut Report) -> bool {
     let Some(binary) = soaked_binary() else {
         eprintln!(
@@ -20,25 +20,37 @@
     };
     let mut passed = true;
     for seed in seed..seed + runs {
-        let dir =
-            std::env::temp_dir().join(format!("wisteriawick-soak-{}-{seed}", std::process::id()));
-        match Soak::small(seed).run(&binary, &dir).await {
-            Ok(soak_report) => {
-                passed &= soak_report.passed();
-                add_results(seed, &soak_report, &dir, report);
-            }
-            Err(e) => {
-                eprintln!("seed {seed} could not run: {e}");
-                passed = false;
-            }
+        for soak in [Soak::small(seed), Soak::planned_stops(seed)] {
+            passed &= run_one(soak, &binary, report).await;
         }
     }
     passed
 }
 
+/// Runs the soak test once, and returns whether it finished without a violated invariant.
+async fn run_one(soak: Soak, binary: &Path, report: &mut Report) -> bool {
+    let name = format!("seed {}, {:?}", soak.seed, soak.faults);
+    let dir = format!(
+        "wisteriawick-soak-{}-{:?}-{}",
+        std::process::id(),
+        soak.faults,
+        soak.seed
+    );
+    let dir = std::env::temp_dir().join(dir);
+    match soak.run(binary, &dir).await {
+        Ok(soak_report) => {
+            add_results(&name, &soak_report, &dir, report);
+            soak_report.passed()
+        }
+        Err(e) => {
+            eprintln!("{name} could not run: {e}");
+            false
+        }
+    }
+}
+
 /// Reports a run, and prints its faults and violations if there are any violations.
-fn add_results(seed: u64, soak_report: &SoakReport, dir: &Path, report: &mut Report) {
-    let name = format!("seed {seed}");
+fn add_results(name: &str, soak_report: &SoakReport, dir: &Path, report: &mut Report) {
     for (outcome, count) in soak_report.outcomes() {
         report.add(format!("{name}, {outcome}"), count as f64, "", Target::None);
     }
@@ -47,7 +59,7 @@
         let _ = std::fs::remove_dir_all(dir);
         return;
     }
-    eprintln!("seed {seed}: logs are in {}", dir.display());
+    eprintln!("{name}: logs are in {}", dir.display());
     for line in soak_report.faults() {
         eprintln!("  fault   {line}");
     }
--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -37,14 +37,30 @@
     state: Mutex<State>,
 }
 
+/// Start and end of a time; the end is `None` while it lasts.
+type Period = (Instant, Option<Instant>);
+
 /// The mutable state of an entry.
 #[derive(Debug, Default)]
 struct State {
     child: Option<Child>,
+    started_at: Option<Instant>,
     /// Whether new requests are sent to the entry.
     is_in_rotation: bool,
-    /// Start and end of each outage; the end is `None` while it lasts.
-    outages: Vec<(Instant, Option<Instant>)>,
+    /// Times in which a fault impaired the entry.
+    outages: Vec<Period>,
+    /// Times from `SIGTERM` until the entry is ready again.
+    stops: Vec<Period>,
+}
+
+impl State {
+    fn signal(&self, signal: Signal) {
+        let pid = self.child.as_ref().map(|child| child.id() as i32);
+        if let Some(pid) = pid.and_then(Pid::from_raw) {
+            // Fails only if the process has just exited, which is no error here.
+            let _ = kill_process(pid, signal);
+        }
+    }
 }
 
 impl EntryProcess {
@@ -84,18 +100,15 @@
             .stdout(log)
             .stderr(errors)
             .spawn()?;
-        self.lock().child = Some(child);
+        let mut state = self.lock();
+        state.child = Some(child);
+        state.started_at = Some(Instant::now());
         Ok(())
     }
 
     /// Sends a signal to the process, if there is one.
     pub(crate) fn signal(&self, signal: Signal) {
-        let state = self.lock();
-        let pid = state.child.as_ref().map(|child| child.id() as i32);
-        if let Some(pid) = pid.and_then(Pid::from_raw) {
-            // Fails only if the process has just exited, which is no error here.
-            let _ = kill_process(pid, signal);
-        }
+        self.lock().signal(signal);
     }
 
     /// Waits until the process exits. Returns `false` if it has not within `timeout`.
@@ -135,26 +148,57 @@
 
     /// Marks the end of all current outages.
     pub(crate) fn end_outage(&self) {
-        for (_, end) in &mut self.lock().outages {
-            end.get_or_insert_with(Instant::now);
-        }
+        end_all(&mut self.lock().outages);
     }
 
     /// Returns whether an outage overlaps the time between `from` and `to`.
     pub(crate) fn had_outage(&self, from: Instant, to: Instant) -> bool {
-        let state = self.lock();
-        let overlaps = |(start, end): &(Instant, Option<Instant>)| {
-            *start <= to && end.is_none_or(|end| end >= from)
-        };
-        state.outages.iter().any(overlaps)
+        any_overlaps(&self.lock().outages, from, to)
+    }
+
+    /// Marks the start of a planned stop.
+    pub(crate) fn begin_stop(&self) {
+        self.lock().stops.push((Instant::now(), None));
+    }
+
+    /// Sends a signal of a series and returns whether it starts a planned stop. A process
+    /// that replaces a stopped one gets no signal before it is ready.
+    pub(crate) fn signal_in_series(&self, signal: Signal) -> bool {
+        let mut state = self.lock();
+        let stop = state.stops.iter().find(|(_, end)| end.is_none());
+        let stop = stop.map(|(start, _)| *start);
+        if stop.is_some() && state.started_at > stop {
+            return false;
+        }
+        let begins = stop.is_none() && signal == Signal::TERM;
+        if begins {
+            state.stops.push((Instant::now(), None));
+        }
+        state.signal(signal);
+        begins
+    }
+
+    /// Marks the end of a planned stop: the entry is ready again.
+    pub(crate) fn end_stop(&self) {
+        end_all(&mut self.lock().stops);
+    }
+
+    /// Returns whether a planned stop overlaps the time between `from` and `to`.
+    pub(crate) fn had_stop(&self, from: Instant, to: Instant) -> bool {
+        any_overlaps(&self.lock().stops, from, to)
     }
 
     fn has_exited(&self) -> bool {
         let mut state = self.lock();
-        match &mut state.child {
+        let has_exited = match &mut state.child {
             None => true,
             Some(child) => matches!(child.try_wait(), Ok(Some(_))),
+        };
+        if has_exited {
+            // The process identifier may belong to another process from now on.
+            state.child = None;
         }
+        has_exited
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -162,6 +206,17 @@
     }
 }
 
+fn end_all(periods: &mut [Period]) {
+    for (_, end) in periods {
+        end.get_or_insert_with(Instant::now);
+    }
+}
+
+fn any_overlaps(periods: &[Period], from: Instant, to: Instant) -> bool {
+    let overlaps = |(start, end): &Period| *start <= to && end.is_none_or(|end| end >= from);
+    periods.iter().any(overlaps)
+}
+
 impl Drop for EntryProcess {
     fn drop(&mut self) {
         self.kill();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -25,7 +25,7 @@
 const RESTART_TIMEOUT: Duration = Duration::from_secs(6);
 /// Time within which an entry must exit after `SIGTERM`: its grace period of 4 s and
 /// 1 s of tolerance for a busy machine.
-const STOP_TIMEOUT: Duration = Duration::from_secs(5);
+pub(crate) const STOP_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time from `SIGCONT` until callers can expect a resumed entry to respond.
 const RESUME_SETTLE_TIME: Duration = Duration::from_millis(300);
 /// Time between taking an entry out of rotation and `SIGTERM`.
@@ -266,6 +266,7 @@
     }
     entry.set_in_rotation(false);
     tokio::time::sleep(STOP_DELAY).await;
+    entry.begin_stop();
     entry.signal(Signal::TERM);
     if !entry.wait_exit(STOP_TIMEOUT).await {
         let name = &entry.name;
@@ -275,10 +276,11 @@
     }
     entry.kill();
     restart(fixture, index).await;
+    entry.end_stop();
 }
 
 /// Starts an entry again and puts it in rotation once it is ready.
-async fn restart(fixture: &Fixture, index: usize) {
+pub(crate) async fn restart(fixture: &Fixture, index: usize) {
     let entry = &fixture.entries[index].process;
     if let Err(e) = entry.start() {
         let name = &entry.name;
--- a/crates/soak/src/fixture.rs
+++ b/crates/soak/src/fixture.rs
@@ -23,7 +23,6 @@
 
 use crate::Soak;
 use crate::entry::EntryProcess;
-use crate::load::REQUEST_TIMEOUT;
 use crate::load::RequestKind;
 use crate::load::is_ready;
 use crate::load::send_request;
@@ -62,7 +61,9 @@
     pub(crate) entries: Vec<ProxiedEntry>,
     pub(crate) endpoints: Vec<Endpoint>,
     pub(crate) report: SoakReport,
-    /// Identifiers of requests whose response says that they were not executed.
+    pub(crate) soak: Soak,
+    /// Identifiers of requests whose response says that they were not executed, or whose
+    /// connection a stopping entry closed without a response.
     pub(crate) reported_not_executed: Mutex<Vec<String>>,
     /// Version of the configuration written last.
     version: AtomicU64,
@@ -101,6 +102,7 @@
             entries,
             endpoints,
             report: SoakReport::new(),
+            soak: *soak,
             reported_not_executed: Mutex::default(),
             version: AtomicU64::new(0),
             next_id: AtomicU64::new(0),
@@ -116,7 +118,7 @@
     /// Writes the next configuration. It has a route that no other version has.
     pub(crate) fn write_next_config(&self) {
         let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
-        let next = configuration(version, REQUEST_TIMEOUT.as_millis() as u64);
+        let next = configuration(version, self.soak.request_timeout.as_millis() as u64);
         let next = with_route(next, &format!("mark-{version}"));
         self.store.write_configuration(next);
     }
@@ -133,6 +135,14 @@
         format!("q-{}", self.next_id.fetch_add(1, Ordering::Relaxed))
     }
 
+    /// Records that a request must not have been executed.
+    pub(crate) fn record_not_executed(&self, id: &str) {
+        self.reported_not_executed
+            .lock()
+            .expect("no holder panics")
+            .push(id.into());
+    }
+
     /// Waits until each entry is ready and puts it in rotation. Returns `false` if one
     /// is not ready in time.
     pub(crate) async fn wait_ready(&self) -> bool {
@@ -193,7 +203,14 @@
     async fn probe(&self, entry: &EntryProcess) -> Result<(), String> {
         let version = self.version.load(Ordering::Relaxed);
         let path = format!("/mark-{version}/");
-        let response = send_request(entry, RequestKind::Idempotent, &path, &self.next_id()).await?;
+        let response = send_request(
+            entry,
+            RequestKind::Idempotent,
+            &path,
+            &self.next_id(),
+            self.soak.request_timeout,
+        )
+        .await?;
         match response.status {
             StatusCode::OK => Ok(()),
             status => Err(format!("{path} returned status {status}")),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,6 +13,7 @@
 mod load;
 mod proxy;
 mod report;
+mod stops;
 
 use std::path::Path;
 use std::time::Duration;
@@ -21,6 +22,16 @@
 
 pub use report::SoakReport;
 
+/// The faults that a run injects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultMix {
+    /// Faults of entries, runners and the store, one after the other or overlapping.
+    Any,
+    /// Only `SIGTERM` and `SIGHUP`, in series that overlap at several entries, while
+    /// callers use their open connections until these are closed. No request may be lost.
+    PlannedStops,
+}
+
 /// Settings of one run of the soak test.
 #[derive(Clone, Copy, Debug)]
 pub struct Soak {
@@ -33,8 +44,13 @@
     pub entries: usize,
     /// Number of runners, at least two.
     pub runners: usize,
-    /// Number of concurrent callers, each with one request at a time.
+    /// Number of concurrent callers, each with one request at a time. Every other one
+    /// keeps its connection open between requests.
     pub callers: usize,
+    /// The faults to inject.
+    pub faults: FaultMix,
+    /// Deadline that callers put on a request, and timeout of the routes.
+    pub request_timeout: Duration,
 }
 
 impl Soak {
@@ -46,6 +62,19 @@
             entries: 3,
             runners: 4,
             callers: 16,
+            faults: FaultMix::Any,
+            request_timeout: Duration::from_secs(2),
+        }
+    }
+
+    /// Returns the settings of a run with planned stops for twelve seconds. Requests
+    /// may last for longer than the grace period of the entries.
+    pub fn planned_stops(seed: u64) -> Self {
+        Self {
+            duration: Duration::from_secs(12),
+            faults: FaultMix::PlannedStops,
+            request_timeout: Duration::from_secs(8),
+            ..Self::small(seed)
         }
     }
 
@@ -66,7 +95,10 @@
             return Ok(fixture.shut_down());
         }
         let callers = load::start(&fixture, self.callers);
-        faults::inject_all(&fixture, self).await;
+        match self.faults {
+            FaultMix::Any => faults::inject_all(&fixture, self).await,
+            FaultMix::PlannedStops => stops::inject_all(&fixture, self).await,
+        }
         callers.stop().await;
         fixture.check_recovery().await;
         fixture.check_executions();
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -20,20 +20,20 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_platform::READINESS_PATH;
+use wisteriawick_platform_standin::CallerConnection;
 use wisteriawick_platform_standin::CallerResponse;
 use wisteriawick_platform_standin::caller_request;
 use wisteriawick_platform_standin::send;
 
+use crate::FaultMix;
 use crate::entry::EntryProcess;
 use crate::fixture::Fixture;
-use crate::fixture::ProxiedEntry;
 
-/// Deadline that callers put on a request, and timeout of the routes.
-pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
-/// Tolerance beyond [`REQUEST_TIMEOUT`] for a response on a busy machine.
+/// Tolerance beyond the timeout of a request for a response on a busy machine.
 const RESPONSE_SLACK: Duration = Duration::from_millis(700);
-/// Time after which a caller abandons a request without a complete response.
-const CALL_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time beyond its timeout after which a caller abandons a request without a complete
+/// response.
+const ABANDON_DELAY: Duration = Duration::from_secs(6);
 /// Longest wait for a response to a readiness check.
 const READINESS_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause of a caller between two of its requests.
@@ -89,12 +89,15 @@
 pub(crate) fn start(fixture: &Arc<Fixture>, count: usize) -> Callers {
     let stop = CancellationToken::new();
     let mut tasks = JoinSet::new();
-    for _ in 0..count {
+    for number in 0..count {
+        let keeps_connection = number % 2 == 0;
         let fixture = Arc::clone(fixture);
         let stop = stop.clone();
         tasks.spawn(async move {
+            let mut kept = None;
             while !stop.is_cancelled() {
-                run_request(&fixture).await;
+                run_request(&fixture, &mut kept).await;
+                kept = kept.filter(|_| keeps_connection);
                 tokio::time::sleep(REQUEST_GAP).await;
             }
         });
@@ -102,51 +105,110 @@
     Callers { tasks, stop }
 }
 
-/// Sends one request of a random kind to a random entry in rotation, and checks and
-/// counts the response.
-async fn run_request(fixture: &Fixture) {
-    let in_rotation: Vec<&ProxiedEntry> = fixture
-        .entries
-        .iter()
-        .filter(|entry| entry.process.is_in_rotation())
+/// An open connection, and the index of the entry that it leads to.
+struct Kept {
+    index: usize,
+    connection: CallerConnection,
+}
+
+/// Sends one request of a random kind, on the kept connection if there is one and else
+/// to a random entry in rotation, and checks and counts the response. Leaves the
+/// connection in `kept` if it can be used again.
+async fn run_request(fixture: &Fixture, kept: &mut Option<Kept>) {
+    let in_rotation: Vec<usize> = (0..fixture.entries.len())
+        .filter(|index| fixture.entries[*index].process.is_in_rotation())
         .collect();
-    let (kind, entry) = {
+    let (kind, index) = {
         let mut rng = rand::rng();
         let kind = RequestKind::ALL[rng.random_range(0..RequestKind::ALL.len())];
         (kind, in_rotation.choose(&mut rng).copied())
     };
-    let Some(entry) = entry else {
+    let used_before = kept.take();
+    let is_kept = used_before.is_some();
+    let Some(index) = used_before.as_ref().map(|kept| kept.index).or(index) else {
         return;
     };
+    let entry = &fixture.entries[index].process;
     let id = fixture.next_id();
     let sent_at = Instant::now();
-    let response = tokio::time::timeout(
-        CALL_TIMEOUT,
-        send_request(&entry.process, kind, kind.path(), &id),
-    )
-    .await;
-    let response = response.unwrap_or_else(|_| Err("no response at all".into()));
+    let timeout = fixture.soak.request_timeout;
+    let exchange = async {
+        let mut connection = match used_before {
+            Some(kept) => kept.connection,
+            None => connect(entry).await?,
+        };
+        let req = caller_request(kind.method(), kind.path(), &id, timeout);
+        let response = send_on(&mut connection, req).await?;
+        Ok((response, connection))
+    };
+    let exchanged = tokio::time::timeout(timeout + ABANDON_DELAY, exchange).await;
+    let exchanged = exchanged.unwrap_or_else(|_| Err("no response at all".into()));
     let elapsed = sent_at.elapsed();
-    let is_excused = entry.process.had_outage(sent_at, Instant::now());
-    let outcome = check_response(fixture, kind, &id, response, elapsed, is_excused);
+    let (response, connection) = match exchanged {
+        Ok((response, connection)) => (Ok(response), Some(connection)),
+        Err(e) => (Err(e), None),
+    };
+    let excuses = Excuses {
+        outage: entry.had_outage(sent_at, Instant::now()),
+        stop: entry.had_stop(sent_at, Instant::now()),
+        is_kept,
+    };
+    let outcome = check_response(fixture, kind, &id, response, elapsed, excuses);
+    *kept = connection
+        .filter(|_| outcome == Ok("served"))
+        .map(|connection| Kept { index, connection });
     match outcome {
         Ok(outcome) => fixture.report.count_outcome(outcome),
-        Err(_) if is_excused => fixture.report.count_outcome("excused"),
+        Err(_) if excuses.outage => fixture.report.count_outcome("excused"),
         Err(violation) => {
             fixture.report.count_outcome("broken");
-            let name = &entry.process.name;
+            let name = &entry.name;
             let elapsed = elapsed.as_millis();
             fixture.report.record_violation(format!(
-                "{id} {kind:?} at {name} after {elapsed} ms: {violation}"
+                "{id} {kind:?} at {name} after {elapsed} ms ({excuses:?}): {violation}"
             ));
         }
     }
 }
 
+/// What a request met at its entry.
+#[derive(Clone, Copy, Debug)]
+struct Excuses {
+    /// A fault impaired the entry meanwhile.
+    outage: bool,
+    /// The entry was stopping meanwhile.
+    stop: bool,
+    /// The request was sent on a connection that had been used before.
+    is_kept: bool,
+}
+
+/// Returns the outcome of a request, or a description of the violated invariant. During
+/// planned stops alone, each request must be served or must not have been executed.
+fn check_response(
+    fixture: &Fixture,
+    kind: RequestKind,
+    id: &str,
+    response: Result<CallerResponse, String>,
+    elapsed: Duration,
+    excuses: Excuses,
+) -> Result<&'static str, String> {
+    let only_stops = fixture.soak.faults == FaultMix::PlannedStops;
+    if response.is_err() && excuses.stop && (only_stops || excuses.is_kept) {
+        // `Fixture::check_executions` verifies that it did not reach a runner.
+        fixture.record_not_executed(id);
+        return Ok("closed");
+    }
+    let outcome = classify_response(fixture, kind, id, response, elapsed, excuses.outage)?;
+    if only_stops && ["broken off", "unknown", "failed by runner"].contains(&outcome) {
+        return Err(outcome.into());
+    }
+    Ok(outcome)
+}
+
 /// Returns the outcome of a request, or a description of the violated invariant.
 ///
 /// A complete but incorrect body is recorded as a violation here, even if `is_excused`.
-fn check_response(
+fn classify_response(
     fixture: &Fixture,
     kind: RequestKind,
     id: &str,
@@ -155,6 +217,7 @@
     is_excused: bool,
 ) -> Result<&'static str, String> {
     let response = response?;
+    let latest = fixture.soak.request_timeout + RESPONSE_SLACK;
     if response.status.is_success() {
         // An outage never excuses an incorrect body.
         let correct = is_correct(kind, id, &response);
@@ -165,7 +228,7 @@
             ));
         }
         return match (correct, kind) {
-            (true, _) if elapsed <= REQUEST_TIMEOUT + RESPONSE_SLACK => Ok("served"),
+            (true, _) if elapsed <= latest => Ok("served"),
             (true, _) if is_excused => Ok("excused"),
             (true, _) => Err("the response was too late".into()),
             // Once a stream has begun, closing the connection is the only way to signal
@@ -177,7 +240,7 @@
     if response.status.is_client_error() && response.status != StatusCode::TOO_MANY_REQUESTS {
         return Err(format!("rejected with {}", response.status));
     }
-    if elapsed > REQUEST_TIMEOUT + RESPONSE_SLACK {
+    if elapsed > latest {
         return Err(format!("{} was too late", response.status));
     }
     // Only runners sign responses, so this error was not produced by the entry.
@@ -189,11 +252,7 @@
     let has_retry_after = response.headers.contains_key(RETRY_AFTER);
     match response.status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS if has_retry_after => {
-            let mut reported_not_executed = fixture
-                .reported_not_executed
-                .lock()
-                .expect("no holder panics");
-            reported_not_executed.push(id.into());
+            fixture.record_not_executed(id);
             Ok("refused")
         }
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
@@ -231,16 +290,32 @@
     kind: RequestKind,
     path: &str,
     id: &str,
+    timeout: Duration,
 ) -> Result<CallerResponse, String> {
+    let mut connection = connect(entry).await?;
+    let req = caller_request(kind.method(), path, id, timeout);
+    send_on(&mut connection, req).await
+}
+
+/// Opens a connection to an entry.
+async fn connect(entry: &EntryProcess) -> Result<CallerConnection, String> {
     let stream = TcpStream::connect(entry.caller_address)
         .await
         .map_err(|e| format!("could not connect: {e}"))?;
-    send(
-        stream,
-        caller_request(kind.method(), path, id, REQUEST_TIMEOUT),
-    )
-    .await
-    .map_err(|e| format!("the connection ended without a response: {e}"))
+    CallerConnection::open(stream)
+        .await
+        .map_err(|e| format!("could not open the connection: {e}"))
+}
+
+/// Sends a request on an open connection and waits for the response.
+async fn send_on(
+    connection: &mut CallerConnection,
+    req: Request<Full<Bytes>>,
+) -> Result<CallerResponse, String> {
+    connection
+        .send(req)
+        .await
+        .map_err(|e| format!("the connection ended without a response: {e}"))
 }
 
 /// Returns whether the readiness endpoint of an entry responds with status 200.
