Soak: losses of power, and defects that its checks must find

All entries are killed at once right after the store acknowledged a configuration and a runner's leaving; a ready entry must serve by both, and its working, home and temporary directories must be empty.

--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -9,8 +9,8 @@
 use crate::report::Report;
 use crate::report::Target;
 
-/// Runs the seeds from `seed` to `seed + runs - 1`, each with any faults and with planned
-/// stops alone, and returns whether all runs finished without a violated invariant.
+/// Runs the seeds from `seed` to `seed + runs - 1`, each with any faults, with planned
+/// stops alone and with losses of power alone, and returns whether all runs finished without a violated invariant.
 pub(crate) async fn run(seed: u64, runs: u64, report: &mut Report) -> bool {
     let Some(binary) = soaked_binary() else {
         eprintln!(
@@ -20,7 +20,11 @@
     };
     let mut passed = true;
     for seed in seed..seed + runs {
-        for soak in [Soak::small(seed), Soak::planned_stops(seed)] {
+        for soak in [
+            Soak::small(seed),
+            Soak::planned_stops(seed),
+            Soak::power_losses(seed),
+        ] {
             passed &= run_one(soak, &binary, report).await;
         }
     }
--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -34,6 +34,8 @@
     binary: PathBuf,
     settings: PathBuf,
     log: PathBuf,
+    /// Working and home directory of the process, which must stay empty.
+    disk: PathBuf,
     state: Mutex<State>,
 }
 
@@ -78,7 +80,10 @@
             &settings,
             entry_settings(name, caller_address, readiness_address, store),
         )?;
+        let disk = dir.join(format!("{name}.disk"));
+        std::fs::create_dir_all(&disk)?;
         Ok(Self {
+            disk,
             name: name.into(),
             caller_address,
             readiness_address,
@@ -96,6 +101,9 @@
         let child = Command::new(&self.binary)
             .arg("entry")
             .env(SETTINGS_VARIABLE, &self.settings)
+            .env("HOME", &self.disk)
+            .env("TMPDIR", &self.disk)
+            .current_dir(&self.disk)
             .stdin(Stdio::null())
             .stdout(log)
             .stderr(errors)
@@ -106,6 +114,11 @@
         Ok(())
     }
 
+    /// Returns whether the disk of the process is empty.
+    pub(crate) fn is_disk_empty(&self) -> std::io::Result<bool> {
+        Ok(std::fs::read_dir(&self.disk)?.next().is_none())
+    }
+
     /// Sends a signal to the process, if there is one.
     pub(crate) fn signal(&self, signal: Signal) {
         self.lock().signal(signal);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -16,9 +16,11 @@
 use wisteriawick_platform_standin::RegisteredState;
 use wisteriawick_platform_standin::RunnerBehavior;
 
+use crate::FaultMix;
 use crate::Soak;
 use crate::fixture::Fixture;
 use crate::fixture::wait_ready;
+use crate::power;
 use crate::proxy::Mode;
 
 /// Longest wait for a restarted entry to become ready.
@@ -85,6 +87,9 @@
     RunnerLeaves(usize),
     /// The next version of the configuration is written.
     NewConfig,
+    /// A new configuration and a runner that leaves are acknowledged, then all entries get
+    /// `SIGKILL` at once and are restarted later. Overlaps no other fault.
+    PowerLost(usize),
 }
 
 /// A fault with its timing.
@@ -102,7 +107,8 @@
     let entry = rng.random_range(0..soak.entries - FAULT_FREE);
     let runner = rng.random_range(0..soak.runners - FAULT_FREE);
     let behavior = FAULTY_BEHAVIORS[rng.random_range(0..FAULTY_BEHAVIORS.len())];
-    let fault = match rng.random_range(0..18) {
+    let fault = match rng.random_range(0..19) {
+        _ if soak.faults == FaultMix::PowerLosses => Fault::PowerLost(runner),
         0 => Fault::EntryKilled(entry),
         1 => Fault::EntryFrozen(entry),
         2 => Fault::EntryStopped(entry),
@@ -118,6 +124,7 @@
         12 => Fault::RunnerDelayed(runner),
         13 => Fault::RunnerLeaves(runner),
         14 => Fault::NewConfig,
+        15 => Fault::PowerLost(runner),
         _ => Fault::RunnerMisbehaves(runner, behavior),
     };
     PlannedFault {
@@ -140,9 +147,11 @@
             planned.fault,
             planned.duration.as_millis()
         ));
+        let is_power_loss = matches!(planned.fault, Fault::PowerLost(_));
+        while is_power_loss && running.join_next().await.is_some() {}
         let fixture = Arc::clone(fixture);
         running.spawn(async move { inject(&fixture, planned).await });
-        if !overlap {
+        if !overlap || is_power_loss {
             running.join_next().await;
         }
         tokio::time::sleep(planned.gap).await;
@@ -215,6 +224,7 @@
             fixture.register(index, RegisteredState::Ready);
         }
         Fault::NewConfig => fixture.write_next_config(),
+        Fault::PowerLost(index) => power::lose(fixture, index, duration).await,
     }
 }
 
--- a/crates/soak/src/fixture.rs
+++ b/crates/soak/src/fixture.rs
@@ -200,7 +200,7 @@
     }
 
     /// Sends a request on the route that only the newest configuration has.
-    async fn probe(&self, entry: &EntryProcess) -> Result<(), String> {
+    pub(crate) async fn probe(&self, entry: &EntryProcess) -> Result<(), String> {
         let version = self.version.load(Ordering::Relaxed);
         let path = format!("/mark-{version}/");
         let response = send_request(
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,10 +7,12 @@
 //! at the end. The fault matrix in `wisteriawick-faults` is another test: it injects
 //! single faults and pairs of faults into the protocol code, without sockets or real time.
 
+mod defect;
 mod entry;
 mod faults;
 mod fixture;
 mod load;
+mod power;
 mod proxy;
 mod report;
 mod stops;
@@ -30,6 +32,26 @@
     /// Only `SIGTERM` and `SIGHUP`, in series that overlap at several entries, while
     /// callers use their open connections until these are closed. No request may be lost.
     PlannedStops,
+    /// Only losses of power, one after the other.
+    PowerLosses,
+}
+
+/// A deliberate defect, which shows that the checks find it. The first four alter what
+/// callers of stopping entries send or receive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Defect {
+    /// Responses are lost, though the requests ran.
+    LosesResponses,
+    /// Responses end before their last byte.
+    BreaksOff,
+    /// Responses are replaced by refusals that are not true.
+    Lies,
+    /// At-most-once requests are sent twice.
+    Repeats,
+    /// The process is killed before its grace period has ended.
+    EndsEarly,
+    /// What was acknowledged right before a loss of power is forgotten.
+    ForgetsAcknowledged,
 }
 
 /// Settings of one run of the soak test.
@@ -51,6 +73,8 @@
     pub faults: FaultMix,
     /// Deadline that callers put on a request, and timeout of the routes.
     pub request_timeout: Duration,
+    /// A defect that the run must find.
+    pub defect: Option<Defect>,
 }
 
 impl Soak {
@@ -64,6 +88,7 @@
             callers: 16,
             faults: FaultMix::Any,
             request_timeout: Duration::from_secs(2),
+            defect: None,
         }
     }
 
@@ -78,6 +103,14 @@
         }
     }
 
+    /// Returns the settings of a run with losses of power for six seconds.
+    pub fn power_losses(seed: u64) -> Self {
+        Self {
+            faults: FaultMix::PowerLosses,
+            ..Self::small(seed)
+        }
+    }
+
     /// Runs the soak test with the program at `binary` and returns its report. The
     /// settings files and logs of the processes are written to `dir` and remain there.
     ///
@@ -96,7 +129,7 @@
         }
         let callers = load::start(&fixture, self.callers);
         match self.faults {
-            FaultMix::Any => faults::inject_all(&fixture, self).await,
+            FaultMix::Any | FaultMix::PowerLosses => faults::inject_all(&fixture, self).await,
             FaultMix::PlannedStops => stops::inject_all(&fixture, self).await,
         }
         callers.stop().await;
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -26,6 +26,7 @@
 use wisteriawick_platform_standin::send;
 
 use crate::FaultMix;
+use crate::defect;
 use crate::entry::EntryProcess;
 use crate::fixture::Fixture;
 
@@ -55,7 +56,7 @@
 impl RequestKind {
     const ALL: [Self; 3] = [Self::Idempotent, Self::AtMostOnce, Self::Stream];
 
-    fn path(self) -> &'static str {
+    pub(crate) fn path(self) -> &'static str {
         match self {
             Self::Idempotent => "/safe/",
             Self::AtMostOnce => "/once/",
@@ -139,6 +140,7 @@
         };
         let req = caller_request(kind.method(), kind.path(), &id, timeout);
         let response = send_on(&mut connection, req).await?;
+        let response = defect::apply(fixture, entry, kind, &id, response).await?;
         Ok((response, connection))
     };
     let exchanged = tokio::time::timeout(timeout + ABANDON_DELAY, exchange).await;
--- a/crates/soak/src/stops.rs
+++ b/crates/soak/src/stops.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinSet;
 use wisteriawick_platform_standin::RunnerBehavior;
 
+use crate::Defect;
 use crate::Soak;
 use crate::faults::STOP_TIMEOUT;
 use crate::faults::restart;
@@ -87,6 +88,9 @@
     let Some(stopped_at) = stopped_at else {
         return;
     };
+    if fixture.soak.defect == Some(Defect::EndsEarly) {
+        entry.kill();
+    }
     let rotation = async {
         tokio::time::sleep(ROTATION_DELAY.saturating_sub(stopped_at.elapsed())).await;
         entry.set_in_rotation(false);
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,20 +2,34 @@
 //! faults are injected.
 
 use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
 
+use wisteriawick_soak::Defect;
 use wisteriawick_soak::Soak;
+use wisteriawick_soak::SoakReport;
+
+/// Runs the soak test and returns its report, and the directory of its logs.
+async fn run(soak: Soak) -> (SoakReport, PathBuf) {
+    let binary = Path::new(env!("CARGO_BIN_EXE_wisteriawick"));
+    let Soak {
+        seed,
+        faults,
+        defect,
+        ..
+    } = soak;
+    let name = format!(
+        "wisteriawick-{}-{seed}-{faults:?}-{defect:?}",
+        std::process::id()
+    );
+    let dir = std::env::temp_dir().join(name);
+    let report = soak.run(binary, &dir).await.expect("the processes start");
+    (report, dir)
+}
 
 /// Runs the soak test and asserts that it finds no violation.
 async fn run_soak(soak: Soak) {
-    let binary = Path::new(env!("CARGO_BIN_EXE_wisteriawick"));
-    let dir = std::env::temp_dir().join(format!(
-        "wisteriawick-{}-{:?}-{}",
-        std::process::id(),
-        soak.faults,
-        soak.seed
-    ));
-    let report = soak.run(binary, &dir).await;
-    let report = report.expect("the processes start");
+    let (report, dir) = run(soak).await;
     let faults = report.faults().join("\n");
     let violations = report.violations().join("\n");
     let dir = dir.display();
@@ -40,3 +54,50 @@
 async fn no_request_is_lost_by_planned_stops() {
     run_soak(Soak::planned_stops(1)).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_was_acknowledged_outlives_a_loss_of_power() {
+    run_soak(Soak::power_losses(1)).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn forgotten_acknowledgements_are_found() {
+    let soak = Soak {
+        duration: Duration::from_secs(1),
+        defect: Some(Defect::ForgetsAcknowledged),
+        ..Soak::power_losses(3)
+    };
+    let (report, _) = run(soak).await;
+    let violations = report.violations();
+    for expected in ["without the acknowledged", "a runner that had left"] {
+        assert!(
+            violations.iter().any(|text| text.contains(expected)),
+            "{expected}: {violations:?}"
+        );
+    }
+}
+
+/// A check that cannot fail shows nothing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn each_defect_is_found() {
+    let defects = [
+        (Defect::LosesResponses, "but it was"),
+        (Defect::BreaksOff, "broken off"),
+        (Defect::Lies, "but it was"),
+        (Defect::Repeats, "was executed again"),
+        (Defect::EndsEarly, "broken off"),
+    ];
+    for (defect, expected) in defects {
+        let soak = Soak {
+            duration: Duration::from_secs(2),
+            defect: Some(defect),
+            ..Soak::planned_stops(3)
+        };
+        let (report, _) = run(soak).await;
+        let violations = report.violations();
+        assert!(
+            violations.iter().any(|text| text.contains(expected)),
+            "{defect:?} was not found: {violations:?}"
+        );
+    }
+}
