--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -58,6 +58,8 @@
     for (outcome, count) in soak_report.outcomes() {
         report.add(format!("{name}, {outcome}"), count as f64, "", Target::None);
     }
+    let peak = soak_report.peak_memory_kib() as f64 / 1024.0;
+    report.add(format!("{name}, peak memory"), peak, "MiB", Target::None);
     if soak_report.passed() {
         // Logs are kept only for runs with violations.
         let _ = std::fs::remove_dir_all(dir);
--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -119,6 +119,11 @@
         Ok(std::fs::read_dir(&self.disk)?.next().is_none())
     }
 
+    /// Returns the identifier of the process, if there is one.
+    pub(crate) fn id(&self) -> Option<u32> {
+        self.lock().child.as_ref().map(Child::id)
+    }
+
     /// Sends a signal to the process, if there is one.
     pub(crate) fn signal(&self, signal: Signal) {
         self.lock().signal(signal);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,14 +12,18 @@
 mod faults;
 mod fixture;
 mod load;
+mod memory;
 mod power;
 mod proxy;
 mod report;
 mod stops;
 
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
+use tokio_util::sync::CancellationToken;
+
 use crate::fixture::Fixture;
 
 pub use report::SoakReport;
@@ -128,6 +132,8 @@
             return Ok(fixture.shut_down());
         }
         let callers = load::start(&fixture, self.callers);
+        let cx = CancellationToken::new();
+        let memory = tokio::spawn(memory::watch(Arc::clone(&fixture), cx.clone()));
         match self.faults {
             FaultMix::Any | FaultMix::PowerLosses => faults::inject_all(&fixture, self).await,
             FaultMix::PlannedStops => stops::inject_all(&fixture, self).await,
@@ -135,6 +141,8 @@
         callers.stop().await;
         fixture.check_recovery().await;
         fixture.check_executions();
+        cx.cancel();
+        memory.await.map_err(std::io::Error::other)?;
         Ok(fixture.shut_down())
     }
 }
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -23,6 +23,7 @@
     violation_count: usize,
     faults: Vec<String>,
     outcomes: BTreeMap<&'static str, u64>,
+    peak_memory_kib: u64,
 }
 
 impl SoakReport {
@@ -56,6 +57,12 @@
         *self.lock().outcomes.entry(outcome).or_default() += 1;
     }
 
+    /// Records the peak of resident memory of a process.
+    pub(crate) fn record_peak_memory(&self, kib: u64) {
+        let mut inner = self.lock();
+        inner.peak_memory_kib = inner.peak_memory_kib.max(kib);
+    }
+
     /// Moves the recorded data to a new report and leaves this one empty.
     pub(crate) fn take(&self) -> Self {
         Self {
@@ -84,6 +91,11 @@
         self.lock().outcomes.iter().map(|(k, v)| (*k, *v)).collect()
     }
 
+    /// Returns the highest peak of resident memory of a process, in KiB.
+    pub fn peak_memory_kib(&self) -> u64 {
+        self.lock().peak_memory_kib
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().expect("no holder panics")
     }
