Soak: agents of a group that are stopped, killed and frozen

Four real agents beside stand-in engines whose ranks begin each pass together. Checked: no pass with two maps, no hold longer than 3 s, the map changes again after the faults. Two defects of engines show that the checks can fail.

--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use wisteriawick_soak::GroupSoak;
 use wisteriawick_soak::Soak;
 use wisteriawick_soak::SoakReport;
 
@@ -10,7 +11,7 @@
 use crate::report::Target;
 
 /// Runs the seeds from `seed` to `seed + runs - 1`, each with any faults, with planned
-/// stops alone and with losses of power alone, and returns whether all runs finished without a violated invariant.
+/// stops alone and with losses of power alone, and a group whose agents fail, and returns whether all runs finished without a violated invariant.
 pub(crate) async fn run(seed: u64, runs: u64, report: &mut Report) -> bool {
     let Some(binary) = soaked_binary() else {
         eprintln!(
@@ -27,6 +28,7 @@
         ] {
             passed &= run_one(soak, &binary, report).await;
         }
+        passed &= run_group(GroupSoak::small(seed), &binary, report).await;
     }
     passed
 }
@@ -41,20 +43,42 @@
         soak.seed
     );
     let dir = std::env::temp_dir().join(dir);
-    match soak.run(binary, &dir).await {
-        Ok(soak_report) => {
-            add_results(&name, &soak_report, &dir, report);
-            soak_report.passed()
-        }
-        Err(e) => {
-            eprintln!("{name} could not run: {e}");
-            false
-        }
+    add_results(&name, soak.run(binary, &dir).await, &dir, report)
+}
+
+/// Runs the soak test of agents once, and returns whether it finished without a violated
+/// invariant.
+async fn run_group(soak: GroupSoak, binary: &Path, report: &mut Report) -> bool {
+    let name = format!("seed {}, group", soak.seed);
+    let dir = format!(
+        "wisteriawick-soak-{}-group-{}",
+        std::process::id(),
+        soak.seed
+    );
+    let dir = std::env::temp_dir().join(dir);
+    let run = soak.run(binary, &dir).await;
+    if let Ok(soak_report) = &run {
+        let hold = soak_report.longest_hold().as_millis() as f64;
+        report.add(format!("{name}, longest hold"), hold, "ms", Target::None);
     }
+    add_results(&name, run, &dir, report)
 }
 
-/// Reports a run, and prints its faults and violations if there are any violations.
-fn add_results(name: &str, soak_report: &SoakReport, dir: &Path, report: &mut Report) {
+/// Reports a run, and prints its faults and violations if there are any violations. Returns
+/// whether there are none.
+fn add_results(
+    name: &str,
+    run: std::io::Result<SoakReport>,
+    dir: &Path,
+    report: &mut Report,
+) -> bool {
+    let soak_report = match run {
+        Ok(soak_report) => soak_report,
+        Err(e) => {
+            eprintln!("{name} could not run: {e}");
+            return false;
+        }
+    };
     for (outcome, count) in soak_report.outcomes() {
         report.add(format!("{name}, {outcome}"), count as f64, "", Target::None);
     }
@@ -63,7 +87,7 @@
     if soak_report.passed() {
         // Logs are kept only for runs with violations.
         let _ = std::fs::remove_dir_all(dir);
-        return;
+        return true;
     }
     eprintln!("{name}: logs are in {}", dir.display());
     for line in soak_report.faults() {
@@ -72,6 +96,7 @@
     for line in soak_report.violations() {
         eprintln!("  BROKEN  {line}");
     }
+    false
 }
 
 /// Returns the path of the `wisteriawick` binary next to this one, if it exists.
--- a/crates/soak/src/defect.rs
+++ b/crates/soak/src/defect.rs
@@ -31,7 +31,7 @@
         Some(Defect::BreaksOff) => response.body = None,
         Some(Defect::Lies) => {
             response.status = StatusCode::SERVICE_UNAVAILABLE;
-            response.headers.remove("response-seal");
+            response.remove_signature();
             response
                 .headers
                 .insert(RETRY_AFTER, HeaderValue::from_static("1"));
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod entry;
 mod faults;
 mod fixture;
+mod groups;
 mod load;
 mod memory;
 mod power;
@@ -26,7 +27,9 @@
 
 use crate::fixture::Fixture;
 
+pub use groups::GroupSoak;
 pub use report::SoakReport;
+pub use wisteriawick_platform_standin::EngineDefect;
 
 /// The faults that a run injects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::time::Duration;
 use std::time::Instant;
 
 /// Number of violations stored with their text; further ones are only counted.
@@ -24,6 +25,7 @@
     faults: Vec<String>,
     outcomes: BTreeMap<&'static str, u64>,
     peak_memory_kib: u64,
+    longest_hold: Duration,
 }
 
 impl SoakReport {
@@ -63,6 +65,11 @@
         inner.peak_memory_kib = inner.peak_memory_kib.max(kib);
     }
 
+    /// Records the longest time for which a pass of the group was held.
+    pub(crate) fn record_longest_hold(&self, time: Duration) {
+        self.lock().longest_hold = time;
+    }
+
     /// Moves the recorded data to a new report and leaves this one empty.
     pub(crate) fn take(&self) -> Self {
         Self {
@@ -96,6 +103,11 @@
         self.lock().peak_memory_kib
     }
 
+    /// Returns the longest time for which a pass of the group was held.
+    pub fn longest_hold(&self) -> Duration {
+        self.lock().longest_hold
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().expect("no holder panics")
     }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use wisteriawick_soak::Defect;
+use wisteriawick_soak::EngineDefect;
+use wisteriawick_soak::GroupSoak;
 use wisteriawick_soak::Soak;
 use wisteriawick_soak::SoakReport;
 
@@ -101,3 +103,48 @@
         );
     }
 }
+
+async fn run_group(soak: GroupSoak) -> (SoakReport, PathBuf) {
+    let binary = Path::new(env!("CARGO_BIN_EXE_wisteriawick"));
+    let GroupSoak { seed, defect, .. } = soak;
+    let name = format!(
+        "wisteriawick-{}-{seed}-group-{defect:?}",
+        std::process::id()
+    );
+    let dir = std::env::temp_dir().join(name);
+    let report = soak.run(binary, &dir).await.expect("the processes start");
+    (report, dir)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn group_keeps_one_map_while_its_agents_fail() {
+    let (report, dir) = run_group(GroupSoak::small(1)).await;
+    let faults = report.faults().join("\n");
+    let violations = report.violations().join("\n");
+    let dir = dir.display();
+    assert!(
+        report.passed(),
+        "{violations}\nfaults:\n{faults}\nlogs: {dir}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn defects_of_a_group_are_found() {
+    let defects = [
+        (EngineDefect::KeepsMap, "different maps"),
+        (EngineDefect::IgnoresRelease, "was held"),
+    ];
+    for (defect, expected) in defects {
+        let soak = GroupSoak {
+            duration: Duration::from_millis(500),
+            defect: Some(defect),
+            ..GroupSoak::small(2)
+        };
+        let (report, _) = run_group(soak).await;
+        let violations = report.violations();
+        assert!(
+            violations.iter().any(|text| text.contains(expected)),
+            "{defect:?} was not found: {violations:?}"
+        );
+    }
+}
