--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -83,7 +83,9 @@
         report.add(format!("{name}, {outcome}"), count as f64, "", Target::None);
     }
     let peak = soak_report.peak_memory_kib() as f64 / 1024.0;
-    report.add(format!("{name}, peak memory"), peak, "MiB", Target::None);
+    if peak > 0.0 {
+        report.add(format!("{name}, peak memory"), peak, "MiB", Target::None);
+    }
     if soak_report.passed() {
         // Logs are kept only for runs with violations.
         let _ = std::fs::remove_dir_all(dir);
