--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -16,16 +16,18 @@
 use wisteriawick_platform_standin::RegisteredState;
 use wisteriawick_platform_standin::RunnerBehavior;
 
+use crate::FaultMix;
 use crate::Soak;
 use crate::fixture::Fixture;
 use crate::fixture::wait_ready;
+use crate::power;
 use crate::proxy::Mode;
 
 /// Longest wait for a restarted entry to become ready.
 const RESTART_TIMEOUT: Duration = Duration::from_secs(6);
 /// Time within which an entry must exit after `SIGTERM`: its grace period of 4 s and
 /// 1 s of tolerance for a busy machine.
-const STOP_TIMEOUT: Duration = Duration::from_secs(5);
+pub(crate) const STOP_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time from `SIGCONT` until callers can expect a resumed entry to respond.
 const RESUME_SETTLE_TIME: Duration = Duration::from_millis(300);
 /// Time between taking an entry out of rotation and `SIGTERM`.
@@ -85,6 +87,9 @@
     RunnerLeaves(usize),
     /// The next version of the configuration is written.
     NewConfig,
+    /// A new configuration and a runner that leaves are acknowledged, then all entries get
+    /// `SIGKILL` at once and are restarted later. Overlaps no other fault.
+    PowerLost(usize),
 }
 
 /// A fault with its timing.
@@ -102,7 +107,8 @@
     let entry = rng.random_range(0..soak.entries - FAULT_FREE);
     let runner = rng.random_range(0..soak.runners - FAULT_FREE);
     let behavior = FAULTY_BEHAVIORS[rng.random_range(0..FAULTY_BEHAVIORS.len())];
-    let fault = match rng.random_range(0..18) {
+    let fault = match rng.random_range(0..19) {
+        _ if soak.faults == FaultMix::PowerLosses => Fault::PowerLost(runner),
         0 => Fault::EntryKilled(entry),
         1 => Fault::EntryFrozen(entry),
         2 => Fault::EntryStopped(entry),
@@ -118,6 +124,7 @@
         12 => Fault::RunnerDelayed(runner),
         13 => Fault::RunnerLeaves(runner),
         14 => Fault::NewConfig,
+        15 => Fault::PowerLost(runner),
         _ => Fault::RunnerMisbehaves(runner, behavior),
     };
     PlannedFault {
@@ -140,9 +147,11 @@
             planned.fault,
             planned.duration.as_millis()
         ));
+        let is_power_loss = matches!(planned.fault, Fault::PowerLost(_));
+        while is_power_loss && running.join_next().await.is_some() {}
         let fixture = Arc::clone(fixture);
         running.spawn(async move { inject(&fixture, planned).await });
-        if !overlap {
+        if !overlap || is_power_loss {
             running.join_next().await;
         }
         tokio::time::sleep(planned.gap).await;
@@ -215,6 +224,7 @@
             fixture.register(index, RegisteredState::Ready);
         }
         Fault::NewConfig => fixture.write_next_config(),
+        Fault::PowerLost(index) => power::lose(fixture, index, duration).await,
     }
 }
 
@@ -266,6 +276,7 @@
     }
     entry.set_in_rotation(false);
     tokio::time::sleep(STOP_DELAY).await;
+    entry.begin_stop();
     entry.signal(Signal::TERM);
     if !entry.wait_exit(STOP_TIMEOUT).await {
         let name = &entry.name;
@@ -275,10 +286,11 @@
     }
     entry.kill();
     restart(fixture, index).await;
+    entry.end_stop();
 }
 
 /// Starts an entry again and puts it in rotation once it is ready.
-async fn restart(fixture: &Fixture, index: usize) {
+pub(crate) async fn restart(fixture: &Fixture, index: usize) {
     let entry = &fixture.entries[index].process;
     if let Err(e) = entry.start() {
         let name = &entry.name;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,19 +7,59 @@
 //! at the end. The fault matrix in `wisteriawick-faults` is another test: it injects
 //! single faults and pairs of faults into the protocol code, without sockets or real time.
 
+mod defect;
 mod entry;
 mod faults;
 mod fixture;
+mod groups;
 mod load;
+mod memory;
+mod power;
 mod proxy;
 mod report;
+mod stops;
 
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
+use tokio_util::sync::CancellationToken;
+
 use crate::fixture::Fixture;
 
+pub use groups::GroupSoak;
 pub use report::SoakReport;
+pub use wisteriawick_platform_standin::EngineDefect;
+
+/// The faults that a run injects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultMix {
+    /// Faults of entries, runners and the store, one after the other or overlapping.
+    Any,
+    /// Only `SIGTERM` and `SIGHUP`, in series that overlap at several entries, while
+    /// callers use their open connections until these are closed. No request may be lost.
+    PlannedStops,
+    /// Only losses of power, one after the other.
+    PowerLosses,
+}
+
+/// A deliberate defect, which shows that the checks find it. The first four alter what
+/// callers of stopping entries send or receive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Defect {
+    /// Responses are lost, though the requests ran.
+    LosesResponses,
+    /// Responses end before their last byte.
+    BreaksOff,
+    /// Responses are replaced by refusals that are not true.
+    Lies,
+    /// At-most-once requests are sent twice.
+    Repeats,
+    /// The process is killed before its grace period has ended.
+    EndsEarly,
+    /// What was acknowledged right before a loss of power is forgotten.
+    ForgetsAcknowledged,
+}
 
 /// Settings of one run of the soak test.
 #[derive(Clone, Copy, Debug)]
@@ -33,8 +73,15 @@
     pub entries: usize,
     /// Number of runners, at least two.
     pub runners: usize,
-    /// Number of concurrent callers, each with one request at a time.
+    /// Number of concurrent callers, each with one request at a time. Every other one
+    /// keeps its connection open between requests.
     pub callers: usize,
+    /// The faults to inject.
+    pub faults: FaultMix,
+    /// Deadline that callers put on a request, and timeout of the routes.
+    pub request_timeout: Duration,
+    /// A defect that the run must find.
+    pub defect: Option<Defect>,
 }
 
 impl Soak {
@@ -46,6 +93,28 @@
             entries: 3,
             runners: 4,
             callers: 16,
+            faults: FaultMix::Any,
+            request_timeout: Duration::from_secs(2),
+            defect: None,
+        }
+    }
+
+    /// Returns the settings of a run with planned stops for twelve seconds. Requests
+    /// may last for longer than the grace period of the entries.
+    pub fn planned_stops(seed: u64) -> Self {
+        Self {
+            duration: Duration::from_secs(12),
+            faults: FaultMix::PlannedStops,
+            request_timeout: Duration::from_secs(8),
+            ..Self::small(seed)
+        }
+    }
+
+    /// Returns the settings of a run with losses of power for six seconds.
+    pub fn power_losses(seed: u64) -> Self {
+        Self {
+            faults: FaultMix::PowerLosses,
+            ..Self::small(seed)
         }
     }
 
@@ -66,10 +135,17 @@
             return Ok(fixture.shut_down());
         }
         let callers = load::start(&fixture, self.callers);
-        faults::inject_all(&fixture, self).await;
+        let cx = CancellationToken::new();
+        let memory = tokio::spawn(memory::watch(Arc::clone(&fixture), cx.clone()));
+        match self.faults {
+            FaultMix::Any | FaultMix::PowerLosses => faults::inject_all(&fixture, self).await,
+            FaultMix::PlannedStops => stops::inject_all(&fixture, self).await,
+        }
         callers.stop().await;
         fixture.check_recovery().await;
         fixture.check_executions();
+        cx.cancel();
+        memory.await.map_err(std::io::Error::other)?;
         Ok(fixture.shut_down())
     }
 }
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::time::Duration;
 use std::time::Instant;
 
 /// Number of violations stored with their text; further ones are only counted.
@@ -23,6 +24,8 @@
     violation_count: usize,
     faults: Vec<String>,
     outcomes: BTreeMap<&'static str, u64>,
+    peak_memory_kib: u64,
+    longest_hold: Duration,
 }
 
 impl SoakReport {
@@ -56,6 +59,17 @@
         *self.lock().outcomes.entry(outcome).or_default() += 1;
     }
 
+    /// Records the peak of resident memory of a process.
+    pub(crate) fn record_peak_memory(&self, kib: u64) {
+        let mut inner = self.lock();
+        inner.peak_memory_kib = inner.peak_memory_kib.max(kib);
+    }
+
+    /// Records the longest time for which a pass of the group was held.
+    pub(crate) fn record_longest_hold(&self, time: Duration) {
+        self.lock().longest_hold = time;
+    }
+
     /// Moves the recorded data to a new report and leaves this one empty.
     pub(crate) fn take(&self) -> Self {
         Self {
@@ -84,6 +98,16 @@
         self.lock().outcomes.iter().map(|(k, v)| (*k, *v)).collect()
     }
 
+    /// Returns the highest peak of resident memory of a process, in KiB.
+    pub fn peak_memory_kib(&self) -> u64 {
+        self.lock().peak_memory_kib
+    }
+
+    /// Returns the longest time for which a pass of the group was held.
+    pub fn longest_hold(&self) -> Duration {
+        self.lock().longest_hold
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().expect("no holder panics")
     }
