--- a/crates/core/src/gateway/runner_registry.rs
+++ b/crates/core/src/gateway/runner_registry.rs
@@ -38,8 +38,8 @@
 #[derive(Debug, Default)]
 pub struct RunnerRegistry {
     records: BTreeMap<RunnerId, Record>,
-    /// The last record of each runner that was removed, and when.
-    removed: BTreeMap<RunnerId, (ListedRunner, Instant)>,
+    /// Runners whose records were removed.
+    removed: BTreeMap<RunnerId, RemovedRunner>,
     /// Era of the last listing.
     era: Option<Era>,
     /// Whether the store was restored since the first listing.
@@ -56,6 +56,15 @@
     relists_left: u32,
 }
 
+/// A runner whose record was removed.
+#[derive(Debug)]
+struct RemovedRunner {
+    /// Its last record.
+    last: ListedRunner,
+    /// When the record was removed.
+    at: Instant,
+}
+
 #[derive(Debug)]
 struct Record {
     runner: ListedRunner,
@@ -212,7 +221,7 @@
             let withheld = self
                 .removed
                 .get(&id)
-                .and_then(|(known, _)| withheld_after_removal(known, &runner));
+                .and_then(|removed| withheld_after_removal(&removed.last, &runner));
             let record = Record {
                 runner,
                 is_expired: false,
@@ -255,7 +264,7 @@
     /// Returns whether a later start of the runner was listed before.
     fn has_known_later_start(&self, runner: &ListedRunner) -> bool {
         let listed = self.records.get(&runner.id).map(|record| &record.runner);
-        let removed = self.removed.get(&runner.id).map(|(removed, _)| removed);
+        let removed = self.removed.get(&runner.id).map(|removed| &removed.last);
         listed
             .or(removed)
             .is_some_and(|known| is_earlier_start(runner, known))
@@ -278,10 +287,16 @@
             if record.withheld == Some(Withheld::Leaving) {
                 runner.state = ListedState::Leaving;
             }
-            self.removed.insert(id, (runner, now));
+            self.removed.insert(
+                id,
+                RemovedRunner {
+                    last: runner,
+                    at: now,
+                },
+            );
         }
         let is_recent = |at: Instant| now.saturating_duration_since(at) < REMOVAL_MEMORY;
-        self.removed.retain(|_, (_, at)| is_recent(*at));
+        self.removed.retain(|_, removed| is_recent(removed.at));
         before - self.records.len()
     }
 
