A group that stood is tried with one request until it moves

Cause: when the requests at a standing group had timed out and gone elsewhere, all at the same time, nothing was left that showed its silence, and its runners got requests again as if it were idle.

Change: a group that fell silent is remembered until one of its runners sends something. Meanwhile one request at a time may try it.

--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -11,6 +11,7 @@
 mod runner;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -93,7 +94,8 @@
 struct Exclusions {
     /// Whether runners that are ejected for error responses get none.
     ejected: bool,
-    /// Groups that get none because nothing is heard of them.
+    /// Groups that get none because nothing is heard of them. While they have no request,
+    /// one may try them.
     silent_groups: Vec<Arc<str>>,
 }
 
@@ -108,6 +110,8 @@
     /// Groups that refused requests, by name; `None` stands for all runners whose
     /// group is unknown.
     refusing_groups: BTreeMap<Option<Arc<str>>, RefusingGroup>,
+    /// Groups of which nothing was heard since several of their runners fell silent.
+    standing_groups: BTreeSet<Arc<str>>,
     /// Completed requests per second, smoothed, as of `completion_rate_at`.
     completion_rate: f64,
     completion_rate_at: Instant,
@@ -124,6 +128,7 @@
             runners: BTreeMap::new(),
             queue: Vec::new(),
             refusing_groups: BTreeMap::new(),
+            standing_groups: BTreeSet::new(),
             completion_rate: 0.0,
             completion_rate_at: now,
             rng: SmallRng::seed_from_u64(seed),
@@ -231,6 +236,9 @@
             runner.request_ended(now);
             if outcome.is_sign_of_life() {
                 runner.record_sign_of_life(now);
+                if let Some(group) = runner.group() {
+                    self.standing_groups.remove(group);
+                }
             }
             match outcome {
                 RunnerOutcome::Served => runner.health.record_served(now),
@@ -289,6 +297,9 @@
     pub fn record_sign_of_life(&mut self, now: Instant, id: &RunnerId) {
         if let Some(runner) = self.runners.get_mut(id) {
             runner.record_sign_of_life(now);
+            if let Some(group) = runner.group() {
+                self.standing_groups.remove(group);
+            }
         }
     }
 
@@ -319,9 +330,9 @@
             .is_none_or(|refusing| now >= refusing.until && refusing.probes == 0)
     }
 
-    /// Returns the groups of which nothing is heard, though several of their runners have
+    /// Adds the groups of which nothing is heard, though several of their runners have
     /// requests. All ranks of a group make their passes together.
-    fn silent_groups(&self, now: Instant) -> Vec<Arc<str>> {
+    fn update_standing_groups(&mut self, now: Instant) {
         let mut silent_runners: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
         for runner in self.runners.values() {
             if let Some(group) = runner.group()
@@ -339,13 +350,27 @@
                 silent_runners.remove(group);
             }
         }
-        silent_runners.into_keys().cloned().collect()
+        let standing: Vec<_> = silent_runners.into_keys().cloned().collect();
+        self.standing_groups.extend(standing);
+    }
+
+    /// Returns the standing groups that a request is trying.
+    fn tried_groups(&self) -> Vec<Arc<str>> {
+        let is_tried = |group: &&Arc<str>| {
+            let mut runners = self.runners.values();
+            runners.any(|runner| runner.in_flight() > 0 && runner.group() == Some(group))
+        };
+        self.standing_groups
+            .iter()
+            .filter(is_tried)
+            .cloned()
+            .collect()
     }
 
     fn exclusions(&self, now: Instant) -> Exclusions {
         Exclusions {
             ejected: self.excludes_ejected(now),
-            silent_groups: self.silent_groups(now),
+            silent_groups: self.tried_groups(),
         }
     }
 
@@ -406,6 +431,7 @@
     }
 
     fn select(&mut self, now: Instant, request: &QueuedRequest) -> Option<Selection> {
+        self.update_standing_groups(now);
         let exclusions = self.exclusions(now);
         let mut rng = self.rng.clone();
         let best = self
--- a/crates/core/tests/gateway_pool/health.rs
+++ b/crates/core/tests/gateway_pool/health.rs
@@ -231,3 +231,36 @@
     let other = selected_runner(pool.admit(at(600), queued_request(at(600), 2)));
     assert!(other.is_some_and(|id| id != silent));
 }
+
+/// When the requests at a standing group have been moved or abandoned, it must not look
+/// like an idle one.
+#[test]
+fn silent_group_is_tried_with_one_request_at_a_time() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut pool = pool(start, 3);
+    for n in 0..3 {
+        pool.update_load(start, address(n), &report(0, true));
+    }
+    let mut sent = Vec::new();
+    for queue_id in 0..9 {
+        let id = selected_runner(pool.admit(start, queued_request(start, queue_id)));
+        sent.push(id.expect("room"));
+    }
+    assert_eq!(
+        pool.admit(at(600), queued_request(at(600), 10)),
+        Admission::Wait
+    );
+    pool.cancel(QueuedRequestId(10));
+    for id in &sent {
+        pool.request_ended(at(1_300), id, RunnerOutcome::Abandoned);
+    }
+    let probe = selected_runner(pool.admit(at(2_000), queued_request(at(2_000), 11)));
+    let probe = probe.expect("one request tries the group");
+    assert_eq!(
+        pool.admit(at(2_001), queued_request(at(2_001), 12)),
+        Admission::Wait
+    );
+    let dequeued = pool.response_began(at(2_200), &probe);
+    assert_eq!(dequeued.len(), 1, "the group moves again");
+}
