The log names the content of requests whose connections break, and proven crashes

Nothing told which request an attempt carried: a caller's resend has an identifier of its own, so the attempts under which runners ended could not be put together, nor could one see what an entry held against a request or what proved it. Lines about broken connections and refusals now carry a digest of the request's content, and crash_proven names runner, proof and requests.

No decision changed.

--- a/crates/core/src/gateway/crash_tracker.rs
+++ b/crates/core/src/gateway/crash_tracker.rs
@@ -74,13 +74,18 @@
     }
 
     /// Records that a runner crashed: it is no longer listed, has restarted or
-    /// accepts no connections.
-    pub fn runner_lost(&mut self, now: Instant, runner: &RunnerId) {
-        for attempt in self.records.values_mut().flatten() {
-            if attempt.runner == *runner && attempt.is_recent(now) {
-                attempt.is_crash_proven = true;
+    /// accepts no connections. Returns the requests against which this counts from now.
+    pub fn runner_lost(&mut self, now: Instant, runner: &RunnerId) -> Vec<Fingerprint> {
+        let mut requests = Vec::new();
+        for (request, attempts) in &mut self.records {
+            for attempt in attempts {
+                if attempt.runner == *runner && attempt.is_recent(now) && !attempt.is_crash_proven {
+                    attempt.is_crash_proven = true;
+                    requests.push(*request);
+                }
             }
         }
+        requests
     }
 
     /// Removes the broken attempts of a request that got a response.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -295,7 +295,7 @@
     }
     Upstream::connect(address).await.map_err(|e| {
         slot.set_outcome(RunnerOutcome::Failed);
-        lock(&state.crash_tracker).runner_lost(state.now(), &slot.runner.id);
+        state.runner_lost(&slot.runner.id, "refuses connections");
         let (SendError::NotSent(detail) | SendError::MayHaveRun(detail)) = e;
         FailedAttempt::new(AttemptOutcome::NotSent, detail)
     })
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -224,7 +224,7 @@
         exchange.log(
             EventCategory::Failure,
             "refused",
-            json!({"reason": "crashes runners"}),
+            json!({"reason": "crashes runners", "content": exchange.fingerprint.to_string()}),
         );
         let status = StatusCode::SERVICE_UNAVAILABLE;
         return local_reply(
@@ -323,6 +323,7 @@
             "detail": failed.detail,
             "next": format!("{step:?}"),
             "reached": attempts.retry.reached,
+            "content": failed.connection_broke.then(|| exchange.fingerprint.to_string()),
         }),
     );
     step
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,6 +18,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use serde_json::json;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::collections::HashMap;
@@ -45,6 +46,7 @@
 use wisteriawick_core::time::SharedClock;
 use wisteriawick_platform::StoreClient;
 
+use crate::eventlog::EventCategory;
 use crate::eventlog::EventLog;
 use crate::gateway::response_body::BodyBudget;
 use crate::gateway::stop::Stop;
@@ -352,6 +354,18 @@
         });
     }
 
+    /// Records that a runner crashed, and logs the requests whose attempts it broke off.
+    /// `proof` says how that became known.
+    pub(crate) fn runner_lost(&self, runner: &RunnerId, proof: &str) {
+        let requests = lock(&self.crash_tracker).runner_lost(self.now(), runner);
+        if requests.is_empty() {
+            return;
+        }
+        let contents: Vec<String> = requests.iter().map(ToString::to_string).collect();
+        let fields = json!({"runner": runner.as_str(), "proof": proof, "contents": contents});
+        self.log.line(EventCategory::State, "crash_proven", fields);
+    }
+
     /// Sets the gauges that show what a restored store does not hold.
     fn report_store_behind(&self) {
         let declaration = lock(&self.latest_declaration).is_store_behind();
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -196,7 +196,7 @@
                 state.log.line(EventCategory::State, "runner", fields);
             }
             if has_restarted {
-                lock(&state.crash_tracker).runner_lost(now, &id);
+                state.runner_lost(&id, "restarted");
             }
         }
         Change::Removed { name } => {
@@ -207,7 +207,7 @@
             );
             let id = name.as_str().into();
             runner_registry.remove(now, &id);
-            lock(&state.crash_tracker).runner_lost(now, &id);
+            state.runner_lost(&id, "removed from the list");
         }
         Change::Unreadable { name, error } => {
             log_unreadable(state, &error.to_string());
