Crashes in soak and fault matrix; notes come to an end; a part in all requests is tried again soon

New checks: crash_notes in the fault matrix (the trackers of four entries and a leader; late notes, long queues, restarts, broken links, late proofs, runners lost without a reason; four mutations, each detected) and crash-soak (real entries and agent, killed and frozen, a silent store; a request and a part that crash runners beside sound ones; a defect that it must find).

Notes now carry how often the suspect was cleared, so what a process knows only grows and a note that tells nothing new is not passed on. What nearly all requests have now explains nothing and is tried again after 2 s, doubling. Test: a_part_that_nearly_all_requests_have_is_tried_again_soon. - A part that was executed before needs crashes at three moments half a second apart, counted by whoever saw them, since the span of time was lost when a process learned of them all at once.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -39,7 +39,8 @@
     /// Number of soak runs, with consecutive seeds
     #[bpaf(argument("R"), fallback(1))]
     runs: u64,
-    /// path, relay, choice, fairness, idle, ledger, faults, maps, tickets, capacity or soak
+    /// path, relay, choice, fairness, idle, ledger, faults, maps, tickets, capacity, soak or
+    /// crash-soak
     #[bpaf(positional("NAME"))]
     name: String,
 }
@@ -65,6 +66,12 @@
                 return ExitCode::FAILURE;
             }
         }
+        "crash-soak" => {
+            if !client::block_on(soak::run_crash_soak(seed, options.runs, &mut report)) {
+                report.print(options.json);
+                return ExitCode::FAILURE;
+            }
+        }
         other => {
             eprintln!("there is no experiment {other:?}; see --help");
             return ExitCode::from(2);
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use wisteriawick_soak::CrashSoak;
 use wisteriawick_soak::GroupSoak;
 use wisteriawick_soak::Soak;
 use wisteriawick_soak::SoakReport;
@@ -10,13 +11,15 @@
 use crate::report::Report;
 use crate::report::Target;
 
+const NO_BINARY: &str =
+    "no wisteriawick binary found next to this one; run `cargo build --release` first";
+
 /// Runs the seeds from `seed` to `seed + runs - 1`, each with any faults, with planned
-/// stops alone and with losses of power alone, and a group whose agents fail, and returns whether all runs finished without a violated invariant.
+/// stops alone and with losses of power alone, a group whose agents fail, and requests that
+/// crash runners. Returns whether all runs finished without a violated invariant.
 pub(crate) async fn run(seed: u64, runs: u64, report: &mut Report) -> bool {
     let Some(binary) = soaked_binary() else {
-        eprintln!(
-            "no wisteriawick binary found next to this one; run `cargo build --release` first"
-        );
+        eprintln!("{NO_BINARY}");
         return false;
     };
     let mut passed = true;
@@ -29,6 +32,21 @@
             passed &= run_one(soak, &binary, report).await;
         }
         passed &= run_group(GroupSoak::small(seed), &binary, report).await;
+        passed &= run_crashes(CrashSoak::small(seed), &binary, report).await;
+    }
+    passed
+}
+
+/// Runs only the soak test of requests that crash runners, with the seeds from `seed` to
+/// `seed + runs - 1`. Returns whether all runs finished without a violated invariant.
+pub(crate) async fn run_crash_soak(seed: u64, runs: u64, report: &mut Report) -> bool {
+    let Some(binary) = soaked_binary() else {
+        eprintln!("{NO_BINARY}");
+        return false;
+    };
+    let mut passed = true;
+    for seed in seed..seed + runs {
+        passed &= run_crashes(CrashSoak::small(seed), &binary, report).await;
     }
     passed
 }
@@ -64,6 +82,19 @@
     add_results(&name, run, &dir, report)
 }
 
+/// Runs the soak test of requests that crash runners once, and returns whether it finished
+/// without a violated invariant.
+async fn run_crashes(soak: CrashSoak, binary: &Path, report: &mut Report) -> bool {
+    let name = format!("seed {}, crashes", soak.seed);
+    let dir = format!(
+        "wisteriawick-soak-{}-crashes-{}",
+        std::process::id(),
+        soak.seed
+    );
+    let dir = std::env::temp_dir().join(dir);
+    add_results(&name, soak.run(binary, &dir).await, &dir, report)
+}
+
 /// Reports a run, and prints its faults and violations if there are any violations. Returns
 /// whether there are none.
 fn add_results(
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -7,6 +7,7 @@
 //! choose a runner, decide on retries and check resumed streams. Entries that
 //! send requests through agents use the [`router`](crate::router) instead.
 
+mod common_parts;
 mod crash_note;
 mod crash_record;
 mod crash_suspect;
--- a/crates/core/src/gateway/crash_note.rs
+++ b/crates/core/src/gateway/crash_note.rs
@@ -1,31 +1,29 @@
 //! What processes tell each other of what crashes runners.
-//!
-//! A note states all that its sender knows of one suspect, so notes may be lost,
-//! repeated and reordered: the next one makes up for it.
 
 use std::time::Duration;
 
 use crate::gateway::CrashSuspect;
 use crate::ids::RunnerId;
 
-/// A change in what is known of one suspect.
+/// All that a process knows of one suspect.
+///
+/// Notes may be lost, repeated and reordered. What a process knows only grows by them: of
+/// two generations the later one holds, and within one the runners add up. So notes that
+/// are passed on come to an end.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum CrashNote {
-    /// Runners crashed under requests that have it.
-    Crashed {
-        /// What the requests have in common.
-        suspect: CrashSuspect,
-        /// The runners that crashed.
-        runners: Vec<RunnerId>,
-        /// How much longer requests that have it must not be sent to a runner; zero if
-        /// they may.
-        blocked_for: Duration,
-        /// Whether runners had executed requests that have it before these crashes.
-        was_sound: bool,
-    },
-    /// A runner executed a request that has it without crashing.
-    Cleared {
-        /// What the request has.
-        suspect: CrashSuspect,
-    },
+pub struct CrashNote {
+    /// What the requests have in common under which runners crashed.
+    pub suspect: CrashSuspect,
+    /// How often the suspect has been cleared.
+    pub generation: u32,
+    /// The runners that have crashed since; none if the suspect is cleared.
+    pub runners: Vec<RunnerId>,
+    /// Number of moments at which they crashed.
+    pub moments: u32,
+    /// How much longer requests that have the suspect must not be sent to a runner; zero
+    /// if they may.
+    pub blocked_for: Duration,
+    /// Whether runners have executed requests that have the suspect, so that more crashes
+    /// are needed to block it.
+    pub is_trusted: bool,
 }
--- a/crates/core/src/gateway/crash_record.rs
+++ b/crates/core/src/gateway/crash_record.rs
@@ -9,18 +9,27 @@
 
 /// Number of crashed runners at which a suspect is blocked.
 pub(crate) const CRASHES_BEFORE_BLOCK: usize = 2;
-/// The same for a suspect that runners had executed before. Most of the runners that
-/// crash were executing parts which many requests share.
-const CRASHES_BEFORE_BLOCK_IF_SOUND: usize = 4;
-/// Least time from the first to the last of the crashes that block such a suspect. Many
-/// runners may be lost at one moment, with all that they were executing.
-const MIN_SPAN_IF_SOUND: Duration = Duration::from_secs(2);
+/// The same for a trusted suspect, one that runners had executed before. Most runners that
+/// crash are executing such parts.
+const CRASHES_BEFORE_BLOCK_IF_TRUSTED: usize = 4;
+/// Number of moments at which these must have crashed. Many runners may be lost at one
+/// moment, with all that they were executing.
+const MOMENTS_BEFORE_BLOCK_IF_TRUSTED: u32 = 3;
+/// Least time between two moments.
+const MOMENT_INTERVAL: Duration = Duration::from_millis(500);
 /// How long a suspect is blocked at first; each further crash multiplies the time.
 const FIRST_BLOCK_TIME: Duration = Duration::from_secs(30);
-/// The same for a suspect that runners had executed before.
-const FIRST_BLOCK_TIME_IF_SOUND: Duration = Duration::from_secs(5);
+/// The same for a trusted suspect.
+const FIRST_BLOCK_TIME_IF_TRUSTED: Duration = Duration::from_secs(5);
 const BLOCK_TIME_FACTOR: u32 = 4;
+/// How long a suspect that nearly all requests have is blocked at first, and by what each
+/// further crash multiplies the time. Nothing else shows whether it is sound.
+const FIRST_BLOCK_TIME_IF_COMMON: Duration = Duration::from_secs(2);
+const BLOCK_TIME_FACTOR_IF_COMMON: u32 = 2;
 pub(crate) const MAX_BLOCK_TIME: Duration = Duration::from_secs(24 * 3600);
+/// How long a suspect whose block is over is held back after one attempt, so that its
+/// result is known before the next.
+const TRIAL_TIME: Duration = Duration::from_secs(5);
 /// How long a suspect is remembered after its last crash or the end of its block.
 const RETENTION: Duration = Duration::from_secs(600);
 /// Maximum number of crashed runners kept for one suspect.
@@ -29,13 +38,18 @@
 /// The crashes that count against a suspect, and its block.
 #[derive(Clone, Debug)]
 pub(crate) struct CrashRecord {
-    /// Distinct runners that crashed under requests that have it.
+    /// How often the suspect has been cleared.
+    pub(crate) generation: u32,
+    /// Distinct runners that crashed since then under requests that have it.
     pub(crate) runners: Vec<RunnerId>,
     pub(crate) blocked_until: Instant,
-    /// Whether runners had executed requests that have it before these crashes.
-    pub(crate) was_sound: bool,
-    first_crash: Instant,
-    last_crash: Instant,
+    /// Whether runners have executed requests that have it.
+    pub(crate) is_trusted: bool,
+    /// Number of moments at which the runners crashed, as far as any process has seen.
+    pub(crate) moments: u32,
+    /// When the last of these began here.
+    moment_began: Instant,
+    last_change: Instant,
 }
 
 /// How well a suspect explains crashes; the greater explains those that two share.
@@ -55,17 +69,19 @@
 impl CrashRecord {
     pub(crate) fn new(now: Instant) -> Self {
         Self {
+            generation: 0,
             runners: Vec::new(),
             blocked_until: now,
-            was_sound: false,
-            first_crash: now,
-            last_crash: now,
+            is_trusted: false,
+            moments: 0,
+            moment_began: now,
+            last_change: now,
         }
     }
 
     pub(crate) fn strength(&self) -> Strength {
         Strength {
-            is_fresh: !self.was_sound,
+            is_fresh: !self.is_trusted,
             crashes: self.runners.len(),
         }
     }
@@ -81,10 +97,10 @@
 
     /// Returns whether this many crashes, of those recorded, suffice for a block.
     pub(crate) fn is_enough(&self, crashes: usize) -> bool {
-        match self.was_sound {
+        match self.is_trusted {
             true => {
-                crashes >= CRASHES_BEFORE_BLOCK_IF_SOUND
-                    && self.last_crash - self.first_crash >= MIN_SPAN_IF_SOUND
+                crashes >= CRASHES_BEFORE_BLOCK_IF_TRUSTED
+                    && self.moments >= MOMENTS_BEFORE_BLOCK_IF_TRUSTED
             }
             false => crashes >= CRASHES_BEFORE_BLOCK,
         }
@@ -97,7 +113,7 @@
     }
 
     pub(crate) fn is_outdated(&self, now: Instant) -> bool {
-        now > self.blocked_until.max(self.last_crash) + RETENTION
+        now > self.blocked_until.max(self.last_change) + RETENTION
     }
 
     /// Adds a runner that has crashed; returns whether it is new.
@@ -105,15 +121,32 @@
         let is_new = self.runners.len() < MAX_RUNNERS && !self.runners.contains(runner);
         if is_new {
             self.runners.push(runner.clone());
-            self.last_crash = now;
+            self.last_change = now;
         }
         is_new
     }
 
+    /// Counts the moment of a crash that this process has seen, unless it is the last one.
+    pub(crate) fn count_moment(&mut self, now: Instant) {
+        if self.moments == 0 || now >= self.moment_began + MOMENT_INTERVAL {
+            self.moments += 1;
+            self.moment_began = now;
+        }
+    }
+
+    /// Forgets the crashes of all generations before this one.
+    pub(crate) fn clear(&mut self, now: Instant, generation: u32) {
+        self.generation = generation;
+        self.runners.clear();
+        self.moments = 0;
+        self.blocked_until = now;
+        self.last_change = now;
+    }
+
     /// Returns how long the recorded crashes block the suspect.
     pub(crate) fn block_time(&self) -> Duration {
-        let (threshold, first) = match self.was_sound {
-            true => (CRASHES_BEFORE_BLOCK_IF_SOUND, FIRST_BLOCK_TIME_IF_SOUND),
+        let (threshold, first) = match self.is_trusted {
+            true => (CRASHES_BEFORE_BLOCK_IF_TRUSTED, FIRST_BLOCK_TIME_IF_TRUSTED),
             false => (CRASHES_BEFORE_BLOCK, FIRST_BLOCK_TIME),
         };
         let Some(further) = self.runners.len().checked_sub(threshold) else {
@@ -123,12 +156,27 @@
         first.saturating_mul(factor).min(MAX_BLOCK_TIME)
     }
 
+    /// Holds the suspect back while one request that has it is tried.
+    pub(crate) fn begin_trial(&mut self, now: Instant) {
+        self.blocked_until = self.blocked_until.max(now + TRIAL_TIME);
+        self.last_change = now;
+    }
+
+    /// Returns when one request may be tried if nearly all requests have the suspect.
+    pub(crate) fn next_trial_if_common(&self) -> Instant {
+        let further = self.runners.len().saturating_sub(CRASHES_BEFORE_BLOCK);
+        let factor = BLOCK_TIME_FACTOR_IF_COMMON.saturating_pow(further as u32);
+        self.last_change + FIRST_BLOCK_TIME_IF_COMMON * factor
+    }
+
     pub(crate) fn to_note(&self, now: Instant, suspect: CrashSuspect) -> CrashNote {
-        CrashNote::Crashed {
+        CrashNote {
             suspect,
+            generation: self.generation,
+            moments: self.moments,
             runners: self.runners.clone(),
             blocked_for: self.blocked_until.saturating_duration_since(now),
-            was_sound: self.was_sound,
+            is_trusted: self.is_trusted,
         }
     }
 }
--- a/crates/core/src/gateway/crash_tracker.rs
+++ b/crates/core/src/gateway/crash_tracker.rs
@@ -12,7 +12,7 @@
 //! runners have crashed under it, for a time that grows with each further crash. Sound
 //! requests run beside those that crash a runner, so the crash counts against a suspect
 //! only if no stronger one explains it, one that runners had executed before needs more
-//! crashes, and a part that is always in the same requests as other suspects blocks only those that
+//! crashes, one that nearly all requests have is tried again sooner, and a part that is always in the same requests as other suspects blocks only those that
 //! have them all. A response that is no server error clears all that its request has.
 
 use std::collections::VecDeque;
@@ -22,15 +22,13 @@
 use crate::collections::HashMap;
 use crate::gateway::CrashNote;
 use crate::gateway::CrashSuspect;
+use crate::gateway::common_parts::CommonParts;
 use crate::gateway::crash_record::CRASHES_BEFORE_BLOCK;
 use crate::gateway::crash_record::CrashRecord;
 use crate::gateway::crash_record::MAX_BLOCK_TIME;
 use crate::gateway::sound_parts::SoundParts;
 use crate::ids::RunnerId;
 
-/// How long a suspect whose block is over is held back after one attempt, so that its
-/// result is known before the next.
-const TRIAL_TIME: Duration = Duration::from_secs(5);
 /// How long a broken attempt counts while it is not known whether its runner crashed.
 const SUSPICION_TIME: Duration = Duration::from_secs(4);
 /// How long a broken attempt waits for a proof that its runner crashed. The store
@@ -55,6 +53,7 @@
     /// Runners that crashed a moment ago.
     crashed: VecDeque<CrashedRunner>,
     sound: SoundParts,
+    common: CommonParts,
     /// What other processes have not been told yet.
     notes: Vec<CrashNote>,
 }
@@ -125,25 +124,32 @@
     }
 
     fn count_crash(&mut self, now: Instant, suspect: CrashSuspect, runner: &RunnerId) {
-        let was_sound = self.was_sound(suspect);
+        let is_trusted = self.is_trusted(suspect);
         let record = self.record(now, suspect);
-        record.was_sound |= was_sound;
+        record.is_trusted |= is_trusted;
         if !record.add_runner(now, runner) {
             return;
         }
+        record.count_moment(now);
         let until = now + record.block_time();
         record.blocked_until = record.blocked_until.max(until);
         let note = record.to_note(now, suspect);
         self.notes.push(note);
     }
 
-    fn was_sound(&self, suspect: CrashSuspect) -> bool {
+    /// Returns whether runners have recently executed requests that have a suspect.
+    fn is_trusted(&self, suspect: CrashSuspect) -> bool {
         match suspect {
             CrashSuspect::Request(_) => false,
             CrashSuspect::Part(part) => self.sound.contains(part),
         }
     }
 
+    /// Records that a request with these suspects has arrived.
+    pub fn record_arrival(&mut self, suspects: &[CrashSuspect]) {
+        self.common.insert(suspects);
+    }
+
     /// Returns the record of a suspect, after making room for it.
     fn record(&mut self, now: Instant, suspect: CrashSuspect) -> &mut CrashRecord {
         if !self.records.contains_key(&suspect) && self.records.len() >= MAX_TRACKED_SUSPECTS {
@@ -181,18 +187,25 @@
             if let CrashSuspect::Part(part) = suspect {
                 self.sound.insert(now, *part);
             }
-            self.clear_one(*suspect);
+            self.clear_one(now, *suspect);
         }
     }
 
-    fn clear_one(&mut self, suspect: CrashSuspect) {
+    fn clear_one(&mut self, now: Instant, suspect: CrashSuspect) {
         if let CrashSuspect::Request(_) = suspect {
             self.broken
                 .retain(|attempt| !attempt.suspects.contains(&suspect));
         }
-        if self.records.remove(&suspect).is_some() {
-            self.notes.push(CrashNote::Cleared { suspect });
+        let Some(record) = self.records.get_mut(&suspect) else {
+            return;
+        };
+        if record.runners.is_empty() {
+            return;
         }
+        record.clear(now, record.generation + 1);
+        record.is_trusted |= matches!(suspect, CrashSuspect::Part(_));
+        let note = record.to_note(now, suspect);
+        self.notes.push(note);
     }
 
     /// Returns which of the suspects of a request blocks it, and for how long; `None` if
@@ -219,7 +232,11 @@
             .get(&suspect)
             .filter(|record| now < record.blocked_until)
             .filter(|record| record.is_enough(self.unexplained_crashes(record)))
-            .map(|record| record.blocked_until);
+            .map(|record| match self.common.contains(suspect) {
+                true => record.blocked_until.min(record.next_trial_if_common()),
+                false => record.blocked_until,
+            })
+            .filter(|until| now < *until);
         proven.max(self.suspected_until(now, suspect))
     }
 
@@ -241,8 +258,11 @@
         let strength = record.strength();
         let stronger: Vec<_> = self
             .records
-            .values()
-            .filter(|other| other.strength() > strength && other.strength().is_culprit())
+            .iter()
+            .filter(|(_, other)| other.strength() > strength && other.strength().is_culprit())
+            // What nearly all requests have explains nothing.
+            .filter(|(suspect, _)| !self.common.contains(**suspect))
+            .map(|(_, other)| other)
             .collect();
         let unexplained = record
             .runners
@@ -279,9 +299,8 @@
         for suspect in suspects {
             if let Some(record) = self.records.get_mut(suspect)
                 && record.needs_trial()
-                && record.blocked_until <= now
             {
-                record.blocked_until = now + TRIAL_TIME;
+                record.begin_trial(now);
                 let note = record.to_note(now, *suspect);
                 self.notes.push(note);
             }
@@ -292,31 +311,32 @@
     /// Takes over what another process knows. Notes that tell nothing new change nothing
     /// and are not passed on.
     pub fn merge(&mut self, now: Instant, note: &CrashNote) {
-        let (suspect, runners, blocked_for, was_sound) = match note {
-            CrashNote::Cleared { suspect } => return self.clear_one(*suspect),
-            CrashNote::Crashed {
-                suspect,
-                runners,
-                blocked_for,
-                was_sound,
-            } => (*suspect, runners, *blocked_for, *was_sound),
-        };
-        let until = now + blocked_for.min(MAX_BLOCK_TIME);
-        let is_sound = was_sound || self.was_sound(suspect);
+        let suspect = note.suspect;
+        let until = now + note.blocked_for.min(MAX_BLOCK_TIME);
+        let is_trusted = note.is_trusted || self.is_trusted(suspect);
         let record = self.record(now, suspect);
+        if note.generation < record.generation {
+            return;
+        }
+        let mut is_news = is_trusted != note.is_trusted || is_trusted && !record.is_trusted;
+        if note.generation > record.generation {
+            record.clear(now, note.generation);
+            is_news = true;
+        }
+        record.is_trusted |= is_trusted;
         let known = record.runners.len();
-        for runner in runners {
+        for runner in &note.runners {
             record.add_runner(now, runner);
         }
         let crashes = record.runners.len();
-        // What this process knows of sound parts may be news to the sender.
-        let is_news = is_sound != was_sound || is_sound != record.was_sound;
-        record.was_sound |= is_sound;
-        if crashes == known && !is_news && until <= record.blocked_until + MIN_EXTENSION {
+        is_news |= note.moments > record.moments;
+        record.moments = record.moments.max(note.moments);
+        is_news |= crashes > known || until > record.blocked_until + MIN_EXTENSION;
+        if !is_news {
             return;
         }
         record.blocked_until = record.blocked_until.max(until);
-        if crashes > known.max(runners.len()) {
+        if crashes > known.max(note.runners.len()) {
             // Neither process had seen all of these crashes.
             let own = now + record.block_time();
             record.blocked_until = record.blocked_until.max(own);
--- a/crates/core/tests/gateway_crashes.rs
+++ b/crates/core/tests/gateway_crashes.rs
@@ -154,11 +154,13 @@
     for n in 0..20_000 {
         tracker.merge(
             now,
-            &CrashNote::Crashed {
+            &CrashNote {
                 suspect: CrashSuspect::Request(Fingerprint(100 + n)),
+                generation: 0,
+                moments: 1,
                 runners: vec!["r0".into()],
                 blocked_for: Duration::ZERO,
-                was_sound: false,
+                is_trusted: false,
             },
         );
         tracker.take_notes();
@@ -166,3 +168,38 @@
     assert!(tracker.to_notes(now).len() <= 4_096);
     assert!(is_blocked(&tracker, now));
 }
+
+/// Notes of a crash and of its clearing cross each other on the way through a leader, and
+/// processes passed both on for ever, more of them each time.
+#[test]
+fn notes_that_cross_each_other_come_to_an_end() {
+    let now = Instant::now();
+    let mut leader = CrashTracker::default();
+    let mut entries: Vec<CrashTracker> = (0..4).map(|_| CrashTracker::default()).collect();
+    crash(&mut entries[0], now, "r0");
+    crash(&mut entries[1], now, "r1");
+    let known = entries[0].to_notes(now);
+    entries[2].merge(now, &known[0]);
+    entries[2].clear(now, DEADLY);
+    let mut in_flight: Vec<CrashNote> = entries.iter_mut().flat_map(|e| e.take_notes()).collect();
+    for round in 0.. {
+        assert!(round < 20, "{} notes are on their way", in_flight.len());
+        for note in in_flight.drain(..) {
+            leader.merge(now, &note);
+        }
+        let passed_on = leader.take_notes();
+        for entry in &mut entries {
+            for note in &passed_on {
+                entry.merge(now, note);
+            }
+            in_flight.extend(entry.take_notes());
+        }
+        if passed_on.is_empty() {
+            break;
+        }
+    }
+    let agreed = leader.blocked_by(now, DEADLY).is_some();
+    for entry in &entries {
+        assert_eq!(is_blocked(entry, now), agreed, "all agree");
+    }
+}
--- a/crates/core/tests/gateway_crashing_parts.rs
+++ b/crates/core/tests/gateway_crashing_parts.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use wisteriawick_core::gateway::CrashNote;
 use wisteriawick_core::gateway::CrashSuspect;
 use wisteriawick_core::gateway::CrashTracker;
 use wisteriawick_core::ids::Fingerprint;
@@ -116,7 +115,7 @@
 }
 
 #[test]
-fn a_part_that_turns_deadly_after_it_was_sound_is_blocked_by_the_fifth_crash() {
+fn a_part_that_turns_deadly_after_it_is_trusted_is_blocked_by_the_fifth_crash() {
     let start = Instant::now();
     let mut tracker = CrashTracker::default();
     tracker.clear(start, &request(1, &[COMMON, DEADLY]));
@@ -173,7 +172,7 @@
 
 /// One entry has seen a part executed, another has not and learns of it.
 #[test]
-fn an_entry_learns_that_a_part_was_sound() {
+fn an_entry_learns_that_a_part_is_trusted() {
     let now = Instant::now();
     let mut knowing = CrashTracker::default();
     let mut fresh = CrashTracker::default();
@@ -205,9 +204,27 @@
     }
     assert!(is_blocked(&second, now, &[DEADLY]));
     let notes = second.take_notes();
-    assert!(
-        notes.iter().any(|note| {
-            matches!(note, CrashNote::Crashed { runners, .. } if runners.len() == 2)
-        })
-    );
+    assert!(notes.iter().any(|note| note.runners.len() == 2));
+}
+
+/// A request and a part both crash runners before anything has been executed, and what
+/// they share is in all crashes: blocking it would refuse every request.
+#[test]
+fn a_part_that_nearly_all_requests_have_is_tried_again_soon() {
+    let now = Instant::now();
+    let mut tracker = CrashTracker::default();
+    for n in 0..12 {
+        tracker.record_arrival(&request(100 + n, &[COMMON, 10]));
+    }
+    for (runner, requests) in [
+        ("r0", [request(1, &[COMMON, 10])]),
+        ("r1", [request(1, &[COMMON, 10])]),
+        ("r2", [request(2, &[COMMON, DEADLY])]),
+        ("r3", [request(3, &[COMMON, DEADLY])]),
+    ] {
+        crash(&mut tracker, now, runner, &requests);
+    }
+    let later = now + SECOND * 9;
+    assert!(!is_blocked(&tracker, later, &[COMMON, 20]));
+    assert!(is_blocked(&tracker, later, &[COMMON, DEADLY]));
 }
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -7,6 +7,7 @@
 //! are fakes. It does not simulate a whole cluster: a scenario has a handful of
 //! processes and takes at most some tens of seconds of simulated time.
 
+mod crash_notes;
 mod fault;
 mod hold_switch;
 mod injection;
@@ -16,6 +17,10 @@
 mod request_path;
 mod tickets;
 
+pub use crash_notes::CrashFaults;
+pub use crash_notes::CrashMutation;
+pub use crash_notes::CrashReport;
+pub use crash_notes::run_crash_notes;
 pub use fault::Fault;
 pub use fault::FaultKind;
 pub use fault::Mutation;
--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -19,7 +19,7 @@
 use rustix::process::Signal;
 use rustix::process::kill_process;
 use wisteriawick_platform::SETTINGS_VARIABLE;
-use wisteriawick_platform_standin::entry_settings;
+use wisteriawick_platform_standin::linked_entry_settings;
 use wisteriawick_standins::address::own_address;
 
 /// Interval between checks whether a process has exited.
@@ -66,19 +66,31 @@
 }
 
 impl EntryProcess {
-    /// Writes the settings file of an entry. Does not start the process.
+    /// Writes the settings file of an entry without links. Does not start the process.
     pub(crate) fn new(
         name: &str,
         binary: &Path,
         dir: &Path,
         store: SocketAddr,
+    ) -> std::io::Result<Self> {
+        Self::linked(name, binary, dir, store, 1)
+    }
+
+    /// Writes the settings file of an entry that links to agents at this port. Does not
+    /// start the process.
+    pub(crate) fn linked(
+        name: &str,
+        binary: &Path,
+        dir: &Path,
+        store: SocketAddr,
+        link_port: u16,
     ) -> std::io::Result<Self> {
         let caller_address = own_address();
         let readiness_address = own_address();
         let settings = dir.join(format!("{name}.toml"));
         std::fs::write(
             &settings,
-            entry_settings(name, caller_address, readiness_address, store),
+            linked_entry_settings(name, caller_address, readiness_address, store, link_port),
         )?;
         let disk = dir.join(format!("{name}.disk"));
         std::fs::create_dir_all(&disk)?;
--- a/crates/soak/src/groups.rs
+++ b/crates/soak/src/groups.rs
@@ -51,26 +51,26 @@
 }
 
 /// An agent process.
-struct Agent {
+pub(crate) struct Agent {
     command: Command,
     child: Child,
 }
 
 impl Agent {
-    fn signal(&self, signal: Signal) {
+    pub(crate) fn signal(&self, signal: Signal) {
         if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
             // Fails only if the process has just exited, which is no error here.
             let _ = kill_process(pid, signal);
         }
     }
 
-    fn restart(&mut self) -> std::io::Result<()> {
+    pub(crate) fn restart(&mut self) -> std::io::Result<()> {
         self.child = self.command.spawn()?;
         Ok(())
     }
 
     /// Waits until the process exits. Returns `false` if it has not in time.
-    async fn wait_exit(&mut self) -> std::io::Result<bool> {
+    pub(crate) async fn wait_exit(&mut self) -> std::io::Result<bool> {
         let deadline = Instant::now() + STOP_TIMEOUT;
         while Instant::now() < deadline {
             if self.child.try_wait()?.is_some() {
@@ -124,7 +124,8 @@
         let mut agents = Vec::new();
         for (rank, engine) in engines.iter().enumerate() {
             let name = format!("agent-{rank}");
-            let settings = agent_settings(&name, *engine, link_port, store.address());
+            let links = SocketAddr::new(engine.ip(), link_port);
+            let settings = agent_settings(&name, links, *engine, store.address());
             agents.push(start_agent(binary, dir, &name, &settings)?);
         }
         let report = Arc::new(SoakReport::new());
@@ -203,7 +204,13 @@
     Ok(agent)
 }
 
-fn start_agent(binary: &Path, dir: &Path, name: &str, settings: &str) -> std::io::Result<Agent> {
+/// Starts the agent with these settings.
+pub(crate) fn start_agent(
+    binary: &Path,
+    dir: &Path,
+    name: &str,
+    settings: &str,
+) -> std::io::Result<Agent> {
     let path = dir.join(format!("{name}.toml"));
     std::fs::write(&path, settings)?;
     let log = File::options()
@@ -222,9 +229,15 @@
     Ok(Agent { command, child })
 }
 
-/// Returns the settings file of the agent beside an engine, as the platform writes it.
-fn agent_settings(name: &str, engine: SocketAddr, link_port: u16, store: SocketAddr) -> String {
-    let ip = engine.ip();
+/// Returns the settings file of the agent beside an engine, which accepts links at an
+/// address, as the platform writes it.
+pub(crate) fn agent_settings(
+    name: &str,
+    links: SocketAddr,
+    engine: SocketAddr,
+    store: SocketAddr,
+) -> String {
+    let (ip, link_port) = (links.ip(), links.port());
     format!(
         "node_name = \"{name}\"\nip = \"{ip}\"\nzone = \"here\"\n\
          internal_ports = [{link_port}, {link_port}]\napp = \"{engine}\"\nservice = \"s\"\n\
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,6 +7,7 @@
 //! at the end. The fault matrix in `wisteriawick-faults` is another test: it injects
 //! single faults and pairs of faults into the protocol code, without sockets or real time.
 
+mod crashes;
 mod defect;
 mod entry;
 mod faults;
@@ -27,6 +28,8 @@
 
 use crate::fixture::Fixture;
 
+pub use crashes::CrashDefect;
+pub use crashes::CrashSoak;
 pub use groups::GroupSoak;
 pub use report::SoakReport;
 pub use wisteriawick_platform_standin::EngineDefect;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -235,6 +235,9 @@
 async fn run(exchange: Arc<Exchange>) -> Response<Body> {
     let state = &exchange.state;
     let now = state.now();
+    state
+        .crashes
+        .update(|tracker, _| tracker.record_arrival(&exchange.suspects));
     if let Some(block) = exchange.block() {
         return exchange.refuse_blocked(block);
     }
--- a/src/gateway/load_reports.rs
+++ b/src/gateway/load_reports.rs
@@ -44,6 +44,8 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
+            // An entry that has just begun learns through its links what crashes runners.
+            () = state.runners_changed.notified() => {}
             () = shutdown.cancelled() => return,
         }
         let runners = state.grouped_runners();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -19,6 +19,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use serde_json::json;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::collections::HashMap;
@@ -96,6 +97,8 @@
     /// Requests that crash runners.
     pub(crate) crashes: CrashBoard,
     pub(crate) crash_probes: CrashProbes,
+    /// Notified when the runners or the services change.
+    pub(crate) runners_changed: Notify,
     entry_count: Mutex<EntryCount>,
     rng: Mutex<SmallRng>,
     next_queue_id: AtomicU64,
@@ -131,6 +134,7 @@
             services: Mutex::default(),
             crashes: CrashBoard::new(Arc::clone(&clock)),
             crash_probes: CrashProbes::default(),
+            runners_changed: Notify::new(),
             entry_count: Mutex::default(),
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
             next_queue_id: AtomicU64::new(1),
@@ -195,6 +199,7 @@
             let dequeued = service_state.pool.dispatch_queued(now);
             service_state.deliver(now, dequeued);
         }
+        self.runners_changed.notify_one();
     }
 
     fn new_service(&self, now: Instant, limits: PoolLimits) -> ServiceState {
--- a/src/rank/wire.rs
+++ b/src/rank/wire.rs
@@ -57,20 +57,16 @@
     Crashes(Vec<CrashNoteWire>),
 }
 
-/// A change in what is known of a suspect, as in [`CrashNote`].
+/// What is known of a suspect, as in [`CrashNote`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum CrashNoteWire {
-    /// Runners crashed under requests that have it.
-    Crashed {
-        suspect: CrashSuspectWire,
-        runners: Vec<String>,
-        /// How much longer it is blocked, in milliseconds.
-        blocked_ms: u64,
-        /// Whether runners had executed requests that have it before.
-        was_sound: bool,
-    },
-    /// A runner executed a request that has it without crashing.
-    Cleared(CrashSuspectWire),
+pub(crate) struct CrashNoteWire {
+    suspect: CrashSuspectWire,
+    generation: u32,
+    runners: Vec<String>,
+    moments: u32,
+    /// How much longer it is blocked, in milliseconds.
+    blocked_ms: u64,
+    is_trusted: bool,
 }
 
 /// What may crash runners, as in [`CrashSuspect`].
@@ -102,40 +98,26 @@
 
 impl From<&CrashNote> for CrashNoteWire {
     fn from(note: &CrashNote) -> Self {
-        match note {
-            CrashNote::Crashed {
-                suspect,
-                runners,
-                blocked_for,
-                was_sound,
-            } => Self::Crashed {
-                suspect: (*suspect).into(),
-                runners: runners.iter().map(ToString::to_string).collect(),
-                blocked_ms: blocked_for.as_millis() as u64,
-                was_sound: *was_sound,
-            },
-            CrashNote::Cleared { suspect } => Self::Cleared((*suspect).into()),
+        Self {
+            suspect: note.suspect.into(),
+            generation: note.generation,
+            runners: note.runners.iter().map(ToString::to_string).collect(),
+            moments: note.moments,
+            blocked_ms: note.blocked_for.as_millis() as u64,
+            is_trusted: note.is_trusted,
         }
     }
 }
 
 impl From<&CrashNoteWire> for CrashNote {
     fn from(wire: &CrashNoteWire) -> Self {
-        match wire {
-            CrashNoteWire::Crashed {
-                suspect,
-                runners,
-                blocked_ms,
-                was_sound,
-            } => Self::Crashed {
-                suspect: (*suspect).into(),
-                runners: runners.iter().map(|id| id.as_str().into()).collect(),
-                blocked_for: Duration::from_millis(*blocked_ms),
-                was_sound: *was_sound,
-            },
-            CrashNoteWire::Cleared(suspect) => Self::Cleared {
-                suspect: (*suspect).into(),
-            },
+        Self {
+            suspect: wire.suspect.into(),
+            generation: wire.generation,
+            runners: wire.runners.iter().map(|id| id.as_str().into()).collect(),
+            moments: wire.moments,
+            blocked_for: Duration::from_millis(wire.blocked_ms),
+            is_trusted: wire.is_trusted,
         }
     }
 }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -5,6 +5,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use wisteriawick_soak::CrashDefect;
+use wisteriawick_soak::CrashSoak;
 use wisteriawick_soak::Defect;
 use wisteriawick_soak::EngineDefect;
 use wisteriawick_soak::GroupSoak;
@@ -104,6 +106,46 @@
     }
 }
 
+async fn run_crashes(soak: CrashSoak) -> (SoakReport, PathBuf) {
+    let binary = Path::new(env!("CARGO_BIN_EXE_wisteriawick"));
+    let CrashSoak { seed, defect, .. } = soak;
+    let name = format!(
+        "wisteriawick-{}-{seed}-crashes-{defect:?}",
+        std::process::id()
+    );
+    let dir = std::env::temp_dir().join(name);
+    let report = soak.run(binary, &dir).await.expect("the processes start");
+    (report, dir)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_crashes_runners_is_stopped_while_entries_and_agents_fail() {
+    let (report, dir) = run_crashes(CrashSoak::small(1)).await;
+    let faults = report.faults().join("\n");
+    let violations = report.violations().join("\n");
+    let dir = dir.display();
+    assert!(
+        report.passed(),
+        "{violations}\nfaults:\n{faults}\nlogs: {dir}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_that_tell_each_other_nothing_of_crashes_are_found() {
+    let soak = CrashSoak {
+        defect: Some(CrashDefect::Unlinked),
+        ..CrashSoak::small(2)
+    };
+    let (report, _) = run_crashes(soak).await;
+    let violations = report.violations();
+    assert!(
+        violations
+            .iter()
+            .any(|text| text.contains("runners crashed")),
+        "{violations:?}"
+    );
+}
+
 async fn run_group(soak: GroupSoak) -> (SoakReport, PathBuf) {
     let binary = Path::new(env!("CARGO_BIN_EXE_wisteriawick"));
     let GroupSoak { seed, defect, .. } = soak;
