A request that tries whether it still crashes runners may be retried

The one request that was let through as a trial met a runner that had been replaced, and its retry was held back by its own trial, so nothing was cleared for seconds. A trial now belongs to its request. What nearly all requests have is tried after 1 s instead of 2.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -29,6 +29,7 @@
 pub use crash_note::CrashNote;
 pub use crash_suspect::CrashSuspect;
 pub use crash_tracker::CrashTracker;
+pub use crash_tracker::CrashTrial;
 pub use declaration::CallerLimits;
 pub use declaration::Declaration;
 pub use declaration::Denied;
--- a/crates/core/src/gateway/crash_record.rs
+++ b/crates/core/src/gateway/crash_record.rs
@@ -24,7 +24,7 @@
 const BLOCK_TIME_FACTOR: u32 = 4;
 /// How long a suspect that nearly all requests have is blocked at first, and by what each
 /// further crash multiplies the time. Nothing else shows whether it is sound.
-const FIRST_BLOCK_TIME_IF_COMMON: Duration = Duration::from_secs(2);
+const FIRST_BLOCK_TIME_IF_COMMON: Duration = Duration::from_secs(1);
 const BLOCK_TIME_FACTOR_IF_COMMON: u32 = 2;
 pub(crate) const MAX_BLOCK_TIME: Duration = Duration::from_secs(24 * 3600);
 /// How long a suspect whose block is over is held back after one attempt, so that its
--- a/crates/core/src/gateway/crash_tracker.rs
+++ b/crates/core/src/gateway/crash_tracker.rs
@@ -58,6 +58,13 @@
     notes: Vec<CrashNote>,
 }
 
+/// A request that is sent to find out whether it still crashes runners.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashTrial {
+    /// Crashes that counted against what the request has when the trial began.
+    crashes: usize,
+}
+
 /// An attempt whose connection broke while the runner had the request.
 #[derive(Clone, Debug)]
 struct BrokenAttempt {
@@ -283,7 +290,9 @@
         needed.map(|attempt| attempt.at + SUSPICION_TIME)
     }
 
-    /// Records that a request is about to be sent to a runner.
+    /// Records that a request is about to be sent to a runner. `trial` is what this
+    /// returned for the request before, so that a retry is not held back by the request's
+    /// own trial.
     ///
     /// # Errors
     ///
@@ -292,20 +301,34 @@
         &mut self,
         now: Instant,
         suspects: &[CrashSuspect],
-    ) -> Result<(), (CrashSuspect, Duration)> {
+        trial: Option<CrashTrial>,
+    ) -> Result<Option<CrashTrial>, (CrashSuspect, Duration)> {
+        let crashes = self.crash_count(suspects);
+        if trial.is_some_and(|trial| trial.crashes == crashes) {
+            return Ok(trial);
+        }
         if let Some(blocked) = self.blocked_by(now, suspects) {
             return Err(blocked);
         }
+        let mut begun = None;
         for suspect in suspects {
             if let Some(record) = self.records.get_mut(suspect)
                 && record.needs_trial()
             {
                 record.begin_trial(now);
+                begun = Some(CrashTrial { crashes });
                 let note = record.to_note(now, *suspect);
                 self.notes.push(note);
             }
         }
-        Ok(())
+        Ok(begun)
+    }
+
+    fn crash_count(&self, suspects: &[CrashSuspect]) -> usize {
+        let records = suspects
+            .iter()
+            .filter_map(|suspect| self.records.get(suspect));
+        records.map(|record| record.runners.len()).sum()
     }
 
     /// Takes over what another process knows. Notes that tell nothing new change nothing
--- a/crates/core/tests/gateway_crashes.rs
+++ b/crates/core/tests/gateway_crashes.rs
@@ -32,9 +32,8 @@
     let mut now = Instant::now();
     let mut tracker = CrashTracker::default();
     crash(&mut tracker, now, "r0");
-    assert_eq!(
-        tracker.begin(now, DEADLY),
-        Ok(()),
+    assert!(
+        tracker.begin(now, DEADLY, None).is_ok(),
         "one crash may be chance"
     );
     let mut last = Duration::ZERO;
@@ -56,7 +55,7 @@
     let mut crashes = 0;
     for second in 0..3_600 {
         let now = start + Duration::from_secs(second);
-        if tracker.begin(now, DEADLY).is_ok() {
+        if tracker.begin(now, DEADLY, None).is_ok() {
             crash(&mut tracker, now, &format!("r{second}"));
             crashes += 1;
         }
@@ -74,15 +73,17 @@
     pass_on(&mut tracker, &mut other, now);
     let later = now + tracker.blocked_by(now, DEADLY).expect("blocked").1;
     let later = later + Duration::from_secs(1);
-    assert_eq!(tracker.begin(later, DEADLY), Ok(()));
-    assert!(tracker.begin(later, DEADLY).is_err(), "one at a time");
+    let trial = tracker.begin(later, DEADLY, None).expect("a trial");
+    assert!(tracker.begin(later, DEADLY, None).is_err(), "one at a time");
+    let again = tracker.begin(later, DEADLY, trial);
+    assert_eq!(again, Ok(trial), "its own retry");
     pass_on(&mut tracker, &mut other, later);
-    assert!(other.begin(later, DEADLY).is_err(), "elsewhere too");
+    assert!(other.begin(later, DEADLY, None).is_err(), "elsewhere too");
 
     tracker.clear(later, DEADLY);
     pass_on(&mut tracker, &mut other, later);
-    assert_eq!(tracker.begin(later, DEADLY), Ok(()));
-    assert_eq!(other.begin(later, DEADLY), Ok(()));
+    assert!(tracker.begin(later, DEADLY, None).is_ok());
+    assert!(other.begin(later, DEADLY, None).is_ok());
 }
 
 #[test]
--- a/crates/faults/src/crash_notes.rs
+++ b/crates/faults/src/crash_notes.rs
@@ -355,7 +355,7 @@
             }
             let checks = self.mutation != Some(CrashMutation::ChecksOnlyAtArrival);
             let tracker = &mut self.entries[request.entry];
-            if checks && tracker.begin(now, &request.suspects).is_err() {
+            if checks && tracker.begin(now, &request.suspects, None).is_err() {
                 self.refuse(request);
                 return false;
             }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -4,6 +4,7 @@
 //! responds, a failure rules out a retry, or the deadline is over.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -20,6 +21,7 @@
 use serde_json::json;
 use wisteriawick_core::gateway::AttemptOutcome;
 use wisteriawick_core::gateway::CrashSuspect;
+use wisteriawick_core::gateway::CrashTrial;
 use wisteriawick_core::gateway::Denied;
 use wisteriawick_core::gateway::NextStep;
 use wisteriawick_core::gateway::RetryState;
@@ -47,6 +49,7 @@
 use crate::gateway::slot_request::SlotUse;
 use crate::gateway::slot_request::acquire_slot;
 use crate::gateway::state::GatewayState;
+use crate::gateway::state::lock;
 use crate::telemetry;
 
 /// How long before its deadline a request is answered, so that the response reaches
@@ -85,6 +88,8 @@
     /// What the request has that may crash runners: its content, which is the same
     /// across retries of the caller, and the parts of its prompt that others share.
     suspects: Vec<CrashSuspect>,
+    /// Set if the request was sent to find out whether it still crashes runners.
+    trial: Mutex<Option<CrashTrial>>,
 }
 
 /// What keeps a request from being sent to runners.
@@ -162,6 +167,7 @@
         is_first_on_connection,
         deadline,
         suspects,
+        trial: Mutex::default(),
     };
     match stop {
         Some(stop) if !exchange.is_taken_during(stop) => exchange.refuse_during(stop),
@@ -440,10 +446,13 @@
     ///
     /// Returns what keeps it from being sent, if it crashes runners.
     pub(crate) fn begin_attempt(&self) -> Result<(), Block> {
-        self.state
+        let mut trial = lock(&self.trial);
+        let begun = self
+            .state
             .crashes
-            .update(|tracker, now| tracker.begin(now, &self.suspects))
-            .map_err(|(suspect, time)| Block { suspect, time })
+            .update(|tracker, now| tracker.begin(now, &self.suspects, *trial));
+        *trial = begun.map_err(|(suspect, time)| Block { suspect, time })?;
+        Ok(())
     }
 
     /// Records that a runner executed the request without crashing.
