A crash counts beyond the runners that are kept for a suspect; prompt parts in the stand-in

Found in reading: after twelve crashes no runner was added to a suspect's record, so its next crash extended no block. each_further_crash_blocks_a_request_for_longer now goes to twenty. The soak sets the parts of a prompt through the stand-in, where the platform's names belong.

--- a/crates/core/src/gateway/crash_tracker.rs
+++ b/crates/core/src/gateway/crash_tracker.rs
@@ -134,7 +134,8 @@
         let is_trusted = self.is_trusted(suspect);
         let record = self.record(now, suspect);
         record.is_trusted |= is_trusted;
-        if !record.add_runner(now, runner) {
+        // A crash also counts if no more runners are kept for the suspect.
+        if !record.add_runner(now, runner) && record.runners.contains(runner) {
             return;
         }
         record.count_moment(now);
--- a/crates/core/tests/gateway_crashes.rs
+++ b/crates/core/tests/gateway_crashes.rs
@@ -37,7 +37,7 @@
         "one crash may be chance"
     );
     let mut last = Duration::ZERO;
-    for n in 1..12 {
+    for n in 1..20 {
         crash(&mut tracker, now, &format!("r{n}"));
         let blocked_for = tracker.blocked_by(now, DEADLY).expect("blocked").1;
         assert!(blocked_for > last || blocked_for >= Duration::from_secs(24 * 3600));
--- a/crates/soak/src/crashes.rs
+++ b/crates/soak/src/crashes.rs
@@ -8,7 +8,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http::HeaderValue;
 use http::Request;
 use http::StatusCode;
 use http_body_util::Full;
@@ -26,6 +25,7 @@
 use wisteriawick_platform_standin::configuration;
 use wisteriawick_platform_standin::rank_addresses;
 use wisteriawick_platform_standin::send;
+use wisteriawick_platform_standin::with_prompt_parts;
 use wisteriawick_standins::address::own_address;
 
 use crate::SoakReport;
@@ -198,18 +198,15 @@
         REQUEST_TIMEOUT,
     );
     let kind = rng.random_range(0..8);
-    let shared = match kind {
-        0 => format!("aa:40,{DEADLY_PART}:30"),
-        _ => format!("aa:40,b{:x}:30", rng.random_range(0..4)),
+    let subject = match kind {
+        0 => DEADLY_PART.to_string(),
+        _ => format!("b{:x}", rng.random_range(0..4)),
     };
     if kind == 1 {
         *req.body_mut() = Full::new(Bytes::from(DEADLY_BODY));
     }
-    let parts = HeaderValue::from_str(&format!("{shared},{number:x}:60"));
-    req.headers_mut()
-        .insert("prompt-prefix", parts.expect("valid header value"));
     SoakRequest {
-        req,
+        req: with_prompt_parts(req, &["aa", &subject], &format!("{number:x}")),
         is_sound: kind > 1,
     }
 }
