A part that all requests have is tried only by requests that tell

The trial of the part that all requests have went to one that also had the deadly part, which had crashed only one runner by then. A trial needs a request against which nothing else counts. a_part_that_nearly_all_requests_have_is_tried_again_soon asks for it.

--- a/crates/core/src/gateway/crash_tracker.rs
+++ b/crates/core/src/gateway/crash_tracker.rs
@@ -225,22 +225,35 @@
     ) -> Option<(CrashSuspect, Duration)> {
         let blocked_until = suspects
             .iter()
-            .filter_map(|suspect| Some((*suspect, self.blocked_until(now, *suspect)?)))
+            .filter_map(|suspect| {
+                let may_try = self.is_only_suspect(*suspect, suspects);
+                Some((*suspect, self.blocked_until(now, *suspect, may_try)?))
+            })
             .filter(|(suspect, _)| self.has_all_rivals(*suspect, suspects));
         blocked_until
             .max_by_key(|(_, until)| *until)
             .map(|(suspect, until)| (suspect, until - now))
     }
 
-    /// Returns until when requests that have the suspect must not be sent to a runner;
-    /// `None` if they may be.
-    fn blocked_until(&self, now: Instant, suspect: CrashSuspect) -> Option<Instant> {
+    /// Returns whether no crash counts against anything else that a request has.
+    fn is_only_suspect(&self, suspect: CrashSuspect, suspects: &[CrashSuspect]) -> bool {
+        let mut others = suspects.iter().filter(|other| **other != suspect);
+        others.all(|other| {
+            let record = self.records.get(other);
+            record.is_none_or(|record| record.runners.is_empty())
+        })
+    }
+
+    /// Returns until when a request that has the suspect must not be sent to a runner;
+    /// `None` if it may be. `may_try` says whether the request would tell if a suspect
+    /// that nearly all requests have is sound.
+    fn blocked_until(&self, now: Instant, suspect: CrashSuspect, may_try: bool) -> Option<Instant> {
         let proven = self
             .records
             .get(&suspect)
             .filter(|record| now < record.blocked_until)
             .filter(|record| record.is_enough(self.unexplained_crashes(record)))
-            .map(|record| match self.common.contains(suspect) {
+            .map(|record| match may_try && self.common.contains(suspect) {
                 true => record.blocked_until.min(record.next_trial_if_common()),
                 false => record.blocked_until,
             })
--- a/crates/core/tests/gateway_crashing_parts.rs
+++ b/crates/core/tests/gateway_crashing_parts.rs
@@ -226,5 +226,9 @@
     }
     let later = now + SECOND * 9;
     assert!(!is_blocked(&tracker, later, &[COMMON, 20]));
+    assert!(
+        is_blocked(&tracker, later, &[COMMON, 10]),
+        "it would not tell the parts apart"
+    );
     assert!(is_blocked(&tracker, later, &[COMMON, DEADLY]));
 }
