--- a/crates/core/src/gateway/crash_tracker.rs
+++ b/crates/core/src/gateway/crash_tracker.rs
@@ -11,9 +11,10 @@
 //! two such attempts block their request for seconds. A suspect is blocked once two
 //! runners have crashed under it, for a time that grows with each further crash. Sound
 //! requests run beside those that crash a runner, so the crash counts against a suspect
-//! only if no stronger one explains it, one that runners had executed before needs more
-//! crashes, one that nearly all requests have is tried again sooner, and a part that is always in the same requests as other suspects blocks only those that
-//! have them all. A response that is no server error clears all that its request has.
+//! only if no stronger one explains it. One that runners had executed before needs more
+//! crashes, one that nearly all requests have is tried again sooner, and a part that is
+//! always in the same requests as other suspects blocks only those that have them all.
+//! A response that is no server error clears all that its request has.
 
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -172,7 +172,7 @@
         }
     }
 
-    pub(crate) fn connection_broken(detail: impl Into<String>) -> Self {
+    fn connection_broken(detail: impl Into<String>) -> Self {
         Self {
             connection_broke: true,
             ..Self::new(AttemptOutcome::Unknown, detail)
