A failure is explained from its id: rank, limit, reason, and what broke together

Until now attempt_ended named a runner and broken_off not even that; which group a runner is in had to be looked up elsewhere, and dozens of lines of one moment had to be compared by hand.

An entry that dials the agent beside a runner is told its group and rank. They are kept while the runner is listed (no new message, no new link) and are on the lines of runner, attempt_ended, resumed, broken_off, stream_late, stream_began, stream_ended and answered. attempt_ended says what ruled out another attempt (limit), broken_off why the stream was not resumed (reason) and how its last attempt ended (detail). broke_together sums up three or more attempts that broke within half a second by what they share, in the memory of one attempt.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -7,6 +7,7 @@
 //! choose a runner, decide on retries and check resumed streams. Entries that
 //! send requests through agents use the [`router`](crate::router) instead.
 
+mod broken_together;
 mod common_parts;
 mod crash_note;
 mod crash_record;
@@ -15,6 +16,7 @@
 mod declaration;
 mod entry_count;
 mod events;
+mod group_rank;
 mod latest_declaration;
 mod load;
 mod pool;
@@ -26,6 +28,8 @@
 mod stream_latency;
 mod windowed_retry_budget;
 
+pub use broken_together::BreakSummary;
+pub use broken_together::BrokenTogether;
 pub use crash_note::CrashNote;
 pub use crash_suspect::CrashSuspect;
 pub use crash_tracker::CrashTracker;
@@ -45,6 +49,7 @@
 pub use events::EventSplitter;
 pub use events::SequenceChecker;
 pub use events::StreamFault;
+pub use group_rank::GroupRank;
 pub use latest_declaration::LatestDeclaration;
 pub use latest_declaration::StoreBehind;
 pub use load::GroupReport;
@@ -60,6 +65,7 @@
 pub use response_times::ResponseTimes;
 pub use retry::AttemptOutcome;
 pub use retry::NextStep;
+pub use retry::RetryLimit;
 pub use retry::RetryState;
 pub use runner_registry::RunnerRegistry;
 pub use stop_schedule::StopSchedule;
--- a/crates/core/src/gateway/retry.rs
+++ b/crates/core/src/gateway/retry.rs
@@ -5,6 +5,7 @@
 //! may be executed more than once. Attempts, retry budget and the deadline
 //! bound the retries in both cases.
 
+use std::fmt;
 use std::time::Instant;
 
 /// How an attempt ended that yielded no successful response.
@@ -33,6 +34,30 @@
     Unknown,
 }
 
+/// What ruled out a further attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryLimit {
+    /// A runner may have executed the request, which must not run twice.
+    MayHaveRun,
+    /// The caller waits no longer.
+    Deadline,
+    /// The route allows no more attempts.
+    Attempts,
+    /// The retry budget is spent.
+    Budget,
+}
+
+impl fmt::Display for RetryLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::MayHaveRun => "may have run and must not run twice",
+            Self::Deadline => "the caller waits no longer",
+            Self::Attempts => "no attempts left",
+            Self::Budget => "no retry budget left",
+        })
+    }
+}
+
 /// The attempts that one request has made and may still make.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryState {
@@ -46,6 +71,8 @@
     pub may_have_run: bool,
     /// When the response must be sent to the caller.
     pub deadline: Instant,
+    /// What ruled out an attempt after the last one; `None` if it was allowed.
+    pub limit: Option<RetryLimit>,
 }
 
 impl RetryState {
@@ -57,6 +84,7 @@
             reached: 0,
             may_have_run: false,
             deadline,
+            limit: None,
         }
     }
 
@@ -81,11 +109,8 @@
             self.reached += 1;
         }
         self.may_have_run |= possibly_ran;
-        let is_safe = self.may_run_again || !self.may_have_run;
-        let in_time = now < self.deadline;
-        let has_attempts_left = self.reached < self.max_attempts;
-        let has_budget = || outcome == AttemptOutcome::NotSent || spend();
-        if is_safe && in_time && has_attempts_left && has_budget() {
+        self.limit = self.reached_limit(now, outcome, spend);
+        if self.limit.is_none() {
             return NextStep::Again;
         }
         match outcome {
@@ -94,4 +119,23 @@
             _ => NextStep::Refuse,
         }
     }
+
+    fn reached_limit(
+        &self,
+        now: Instant,
+        outcome: AttemptOutcome,
+        spend: impl FnOnce() -> bool,
+    ) -> Option<RetryLimit> {
+        if self.may_have_run && !self.may_run_again {
+            return Some(RetryLimit::MayHaveRun);
+        }
+        if now >= self.deadline {
+            return Some(RetryLimit::Deadline);
+        }
+        if self.reached >= self.max_attempts {
+            return Some(RetryLimit::Attempts);
+        }
+        let has_budget = outcome == AttemptOutcome::NotSent || spend();
+        (!has_budget).then_some(RetryLimit::Budget)
+    }
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,10 +7,12 @@
 //! [`entry`](crate::entry) instead.
 
 mod attempt;
+mod break_off;
 mod crash_probe;
 mod exchange;
 mod listen;
 mod load_reports;
+mod rank_positions;
 mod received;
 mod relay;
 mod response;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -273,8 +273,7 @@
             Ok(slot) => slot,
             Err(no_slot) => return exchange.respond_without_slot(attempts, no_slot),
         };
-        let listed = slot.runner.clone();
-        let runner = listed.id.clone();
+        let runner = slot.runner.clone();
         attempts.is_in_flight = true;
         let last_event = exchange.caller.last_event_id;
         let result = attempt::send(exchange, attempts, slot, last_event).await;
@@ -286,7 +285,7 @@
             }
             AttemptResult::Failed(failed) => failed,
         };
-        exchange.record_failure(&listed, &failed).await;
+        exchange.record_failure(&runner, &failed).await;
         if let Some(block) = failed.block {
             return exchange.respond_without_slot(attempts, NoSlot::Blocked(block));
         }
@@ -308,12 +307,12 @@
 pub(crate) fn next_step(
     exchange: &Exchange,
     attempts: &mut RequestAttempts,
-    runner: &RunnerId,
+    runner: &ListedRunner,
     failed: &FailedAttempt,
 ) -> NextStep {
     let state = &exchange.state;
     let now = state.now();
-    attempts.excluded.push(runner.clone());
+    attempts.excluded.push(runner.id.clone());
     let spend = || {
         state
             .with_service(&exchange.service, |service_state| {
@@ -329,14 +328,15 @@
         AttemptOutcome::Unknown => "unknown",
     };
     counter!(telemetry::FAILED_ATTEMPTS, "outcome" => outcome).increment(1);
-    exchange.log(
+    exchange.log_at(
         EventCategory::Failure,
         "attempt_ended",
+        runner,
         json!({
-            "runner": runner.as_str(),
             "outcome": format!("{:?}", failed.outcome),
             "detail": failed.detail,
             "next": format!("{step:?}"),
+            "limit": attempts.retry.limit.map(|limit| limit.to_string()),
             "reached": attempts.retry.reached,
             "has": failed.connection_broke.then(|| exchange.suspect_names()),
         }),
@@ -462,9 +462,12 @@
             .update(|tracker, now| tracker.clear(now, &self.suspects));
     }
 
-    /// Records an attempt whose connection broke, and waits for a moment to learn whether
-    /// the runner crashed.
+    /// Records an attempt that failed at a runner. If its connection broke, waits for a
+    /// moment to learn whether the runner crashed.
     pub(crate) async fn record_failure(&self, runner: &ListedRunner, failed: &FailedAttempt) {
+        if failed.outcome == AttemptOutcome::Unknown {
+            self.state.record_break(runner, &self.suspects);
+        }
         if !failed.connection_broke {
             return;
         }
@@ -511,33 +514,42 @@
             "route": self.route_match.route.name,
             "age_ms": self.age().as_millis() as u64,
         });
-        if let (Some(line), serde_json::Value::Object(fields)) = (line.as_object_mut(), fields) {
-            line.extend(fields);
-        }
+        extend(&mut line, fields);
         self.state.log.line(category, kind, line);
     }
 
+    /// Writes a log line about this request at a runner; see [`log`](Self::log).
+    pub(crate) fn log_at(
+        &self,
+        category: EventCategory,
+        kind: &str,
+        runner: &ListedRunner,
+        fields: serde_json::Value,
+    ) {
+        let mut line = self.state.positions.log_fields(runner);
+        extend(&mut line, fields);
+        self.log(category, kind, line);
+    }
+
     /// Logs that the request is cut off because the process ends.
     pub(crate) fn log_cut_off(&self, fields: serde_json::Value) {
         let mut line = json!({
             "after_stop_ms": self.arrived_after_stop.map(|time| time.as_millis() as u64),
             "first_on_connection": self.is_first_on_connection,
         });
-        if let (Some(line), serde_json::Value::Object(fields)) = (line.as_object_mut(), fields) {
-            line.extend(fields);
-        }
+        extend(&mut line, fields);
         self.log(EventCategory::Failure, "cut_off", line);
     }
 
     /// Returns a runner's complete response to the caller.
-    fn forward(&self, buffered: BufferedResponse, runner: &RunnerId) -> Response<Body> {
+    fn forward(&self, buffered: BufferedResponse, runner: &ListedRunner) -> Response<Body> {
         let status = buffered.status;
         let category = match status.is_success() {
             true => EventCategory::Routine,
             false => EventCategory::Failure,
         };
-        let fields = json!({"status": status.as_u16(), "runner": runner.as_str()});
-        self.log(category, "answered", fields);
+        let fields = json!({"status": status.as_u16()});
+        self.log_at(category, "answered", runner, fields);
         self.count_outcome(match status.is_success() {
             true => "answered",
             false => "failed by runner",
@@ -641,6 +653,13 @@
     }
 }
 
+/// Adds fields to those of a log line.
+fn extend(line: &mut serde_json::Value, fields: serde_json::Value) {
+    if let (Some(line), serde_json::Value::Object(fields)) = (line.as_object_mut(), fields) {
+        line.extend(fields);
+    }
+}
+
 fn log_rejected(state: &GatewayState, id: &str, reason: &str) {
     let fields = json!({"request": id, "reason": reason});
     state.log.line(EventCategory::Failure, "refused", fields);
--- a/src/gateway/load_reports.rs
+++ b/src/gateway/load_reports.rs
@@ -53,6 +53,7 @@
             let keep = runners.iter().any(|(known, _)| known == address);
             if !keep {
                 stop.cancel();
+                state.positions.remove(*address);
             }
             keep
         });
@@ -94,11 +95,15 @@
     let Ok(Ok((mut link, first))) = opened else {
         return REDIAL_DELAY;
     };
-    let group = match first {
-        GroupMessage::Position(position) if position.rank == 0 => position.group,
-        GroupMessage::Position(_) => return FOLLOWER_RETRY_DELAY,
-        _ => return REDIAL_DELAY,
+    let GroupMessage::Position(position) = first else {
+        return REDIAL_DELAY;
     };
+    let leads = position.rank == 0;
+    let group = position.group.clone();
+    state.positions.set(runner, position.into());
+    if !leads {
+        return FOLLOWER_RETRY_DELAY;
+    }
     let fields = json!({"group": group, "agent": agent.to_string()});
     state.log.line(EventCategory::State, "leader_met", fields);
     let error = match exchange_reports(state, &mut link, &group, service).await {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,11 +15,11 @@
 use metrics::counter;
 use serde_json::json;
 use wisteriawick_core::gateway::LateCause;
-use wisteriawick_core::gateway::NextStep;
 use wisteriawick_core::gateway::RetryPolicy;
 use wisteriawick_core::gateway::RetryState;
 use wisteriawick_core::gateway::RunnerOutcome;
 use wisteriawick_core::gateway::StreamLatency;
+use wisteriawick_core::hosting::ListedRunner;
 
 use crate::eventlog::EventCategory;
 use crate::gateway::attempt;
@@ -28,11 +28,13 @@
 use crate::gateway::attempt::OpenStream;
 use crate::gateway::attempt::StreamError;
 use crate::gateway::attempt::StreamSource;
+use crate::gateway::break_off::BreakReason;
 use crate::gateway::exchange::Exchange;
 use crate::gateway::exchange::RequestAttempts;
 use crate::gateway::exchange::next_step;
 use crate::gateway::response::Body;
 use crate::gateway::response::response;
+use crate::gateway::runner_slot::RunnerSlot;
 use crate::gateway::slot_request::SlotUse;
 use crate::gateway::slot_request::acquire_slot;
 use crate::telemetry;
@@ -51,14 +53,25 @@
     latency: StreamLatency,
 }
 
+/// A stream that ends before its last event.
+#[derive(Debug)]
+struct BrokenStream {
+    /// The runner of its last attempt.
+    runner: ListedRunner,
+    /// How that attempt ended.
+    detail: String,
+    /// Why there was no other one.
+    reason: BreakReason,
+}
+
 /// Returns the response that forwards a stream.
 pub(crate) fn stream_response(
     exchange: Arc<Exchange>,
     retry: RetryState,
     stream: OpenStream,
 ) -> Response<Body> {
-    let fields = json!({"runner": stream.source.slot.runner.id.as_str()});
-    exchange.log(EventCategory::Routine, "stream_began", fields);
+    let runner = &stream.source.slot.runner;
+    exchange.log_at(EventCategory::Routine, "stream_began", runner, json!({}));
     exchange.record_latency();
     let route = &exchange.route_match.route;
     let latency = StreamLatency::new(exchange.arrived, route.latency_target, route.max_event_gap);
@@ -135,13 +148,10 @@
                     return None;
                 }
                 Err(e) => {
-                    if !self.resume(e).await {
-                        self.exchange.count_outcome("broken off");
-                        self.exchange.log(
-                            EventCategory::Failure,
-                            "broken_off",
-                            json!({"events": self.event_count}),
-                        );
+                    // It is there, since the error came from it.
+                    let source = self.source.take()?;
+                    if let Err(broken) = self.resume(source, e).await {
+                        self.log_broken_off(&broken);
                         return Some(Err(std::io::ErrorKind::ConnectionAborted.into()));
                     }
                 }
@@ -149,6 +159,17 @@
         }
     }
 
+    fn log_broken_off(&self, broken: &BrokenStream) {
+        self.exchange.count_outcome("broken off");
+        let fields = json!({
+            "events": self.event_count,
+            "detail": broken.detail,
+            "reason": broken.reason.to_string(),
+        });
+        self.exchange
+            .log_at(EventCategory::Failure, "broken_off", &broken.runner, fields);
+    }
+
     /// Counts an event, and logs and counts the stream as late if this event made it
     /// late.
     fn count_event(&mut self) {
@@ -174,10 +195,11 @@
             "first_ms": self.latency.time_to_first_event().unwrap_or_default().as_millis() as u64,
             "pause_ms": self.latency.longest_gap().as_millis() as u64,
             "placed_ms": waited.unwrap_or_default().as_millis() as u64,
-            "runner": slot.map(|slot| slot.runner.id.as_str()),
         });
-        self.exchange
-            .log(EventCategory::Failure, "stream_late", fields);
+        if let Some(slot) = slot {
+            self.exchange
+                .log_at(EventCategory::Failure, "stream_late", &slot.runner, fields);
+        }
     }
 
     /// Records how long the stream took; returns the time to its first event.
@@ -206,19 +228,23 @@
             "events": self.event_count,
             "first_ms": first.as_millis() as u64,
             "pause_ms": self.latency.longest_gap().as_millis() as u64,
-            "runner": source.slot.runner.id.as_str(),
         });
+        let runner = &source.slot.runner;
         self.exchange
-            .log(EventCategory::Routine, "stream_ended", fields);
+            .log_at(EventCategory::Routine, "stream_ended", runner, fields);
         self.exchange.count_outcome("answered");
     }
 
-    /// Resumes the stream at another runner after the last event; returns whether
-    /// that succeeded.
-    async fn resume(&mut self, error: StreamError) -> bool {
-        let Some(mut source) = self.source.take() else {
-            return false;
-        };
+    /// Resumes the stream at another runner after the last event.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it was broken off.
+    async fn resume(
+        &mut self,
+        mut source: StreamSource,
+        error: StreamError,
+    ) -> Result<(), BrokenStream> {
         source.slot.set_outcome(RunnerOutcome::Failed);
         let last = source.sequence.last();
         let mut runner = source.slot.runner.clone();
@@ -226,34 +252,67 @@
         let mut failed = FailedAttempt::from(error);
         loop {
             self.exchange.record_failure(&runner, &failed).await;
-            if self.exchange.route_match.route.retry_policy != RetryPolicy::Resume || last.is_none()
-            {
-                return false;
-            }
-            let step = next_step(&self.exchange, &mut self.attempts, &runner.id, &failed);
-            if step != NextStep::Again || failed.block.is_some() {
-                return false;
-            }
-            let slot_use = SlotUse::Resume {
-                last_event_at: self.latency.last_at(),
-            };
-            let Ok(slot) = acquire_slot(&self.exchange, &self.attempts, slot_use).await else {
-                return false;
+            let slot = match self.slot_after(&runner, &failed, last).await {
+                Ok(slot) => slot,
+                Err(reason) => {
+                    return Err(BrokenStream {
+                        runner,
+                        detail: failed.detail,
+                        reason,
+                    });
+                }
             };
             runner = slot.runner.clone();
             match attempt::send(&self.exchange, &self.attempts, slot, last).await {
                 AttemptResult::Stream(stream) => {
-                    let fields = json!({"runner": runner.id.as_str(), "after": last});
-                    self.exchange.log(EventCategory::Failure, "resumed", fields);
+                    let fields = json!({"after": last});
+                    self.exchange
+                        .log_at(EventCategory::Failure, "resumed", &runner, fields);
                     counter!(telemetry::RESUMED_STREAMS).increment(1);
                     self.source = Some(stream.source);
-                    return true;
+                    return Ok(());
+                }
+                AttemptResult::Buffered(_) => {
+                    return Err(BrokenStream {
+                        runner,
+                        detail: failed.detail,
+                        reason: BreakReason::NoStream,
+                    });
                 }
-                AttemptResult::Buffered(_) => return false,
                 AttemptResult::Failed(next) => failed = next,
             }
         }
     }
+
+    /// Returns a slot at another runner after an attempt that failed.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream is not resumed there.
+    async fn slot_after(
+        &mut self,
+        runner: &ListedRunner,
+        failed: &FailedAttempt,
+        last: Option<u64>,
+    ) -> Result<RunnerSlot, BreakReason> {
+        if self.exchange.route_match.route.retry_policy != RetryPolicy::Resume {
+            return Err(BreakReason::RouteNeverResumes);
+        }
+        if last.is_none() {
+            return Err(BreakReason::NoEventYet);
+        }
+        next_step(&self.exchange, &mut self.attempts, runner, failed);
+        if let Some(limit) = self.attempts.retry.limit {
+            return Err(BreakReason::Limit(limit));
+        }
+        if let Some(block) = failed.block {
+            return Err(BreakReason::Blocked(block));
+        }
+        let slot_use = SlotUse::Resume {
+            last_event_at: self.latency.last_at(),
+        };
+        Ok(acquire_slot(&self.exchange, &self.attempts, slot_use).await?)
+    }
 }
 
 async fn read_event(
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -24,7 +24,9 @@
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::collections::HashMap;
 use wisteriawick_core::gateway::Admission;
+use wisteriawick_core::gateway::BrokenTogether;
 use wisteriawick_core::gateway::CrashNote;
+use wisteriawick_core::gateway::CrashSuspect;
 use wisteriawick_core::gateway::CrashTracker;
 use wisteriawick_core::gateway::Declaration;
 use wisteriawick_core::gateway::DequeuedRequest;
@@ -43,6 +45,7 @@
 use wisteriawick_core::gateway::WindowedRetryBudget;
 use wisteriawick_core::hosting::Era;
 use wisteriawick_core::hosting::HostSettings;
+use wisteriawick_core::hosting::ListedRunner;
 use wisteriawick_core::ids::RunnerId;
 use wisteriawick_core::ids::ServiceId;
 use wisteriawick_core::time::SharedClock;
@@ -52,6 +55,7 @@
 use crate::eventlog::EventCategory;
 use crate::eventlog::EventLog;
 use crate::gateway::crash_probe::CrashProbes;
+use crate::gateway::rank_positions::RankPositions;
 use crate::gateway::response_body::BodyBudget;
 use crate::gateway::stop::Stop;
 use crate::gateway::upstream::UpstreamPool;
@@ -97,6 +101,9 @@
     /// Requests that crash runners.
     pub(crate) crashes: CrashBoard,
     pub(crate) crash_probes: CrashProbes,
+    /// Groups and ranks of the runners.
+    pub(crate) positions: RankPositions,
+    broken: Mutex<BrokenTogether>,
     /// Notified when the runners or the services change.
     pub(crate) runners_changed: Notify,
     entry_count: Mutex<EntryCount>,
@@ -134,6 +141,8 @@
             services: Mutex::default(),
             crashes: CrashBoard::new(Arc::clone(&clock)),
             crash_probes: CrashProbes::default(),
+            positions: RankPositions::default(),
+            broken: Mutex::default(),
             runners_changed: Notify::new(),
             entry_count: Mutex::default(),
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
@@ -380,6 +389,30 @@
         self.log.line(EventCategory::State, "crash_proven", fields);
     }
 
+    /// Records an attempt that broke at a runner.
+    pub(crate) fn record_break(&self, runner: &ListedRunner, suspects: &[CrashSuspect]) {
+        self.log_breaks();
+        let position = self.positions.get(runner.address);
+        lock(&self.broken).record(self.now(), runner, position.as_ref(), suspects);
+    }
+
+    /// Logs what attempts that broke together have in common, once no more can.
+    fn log_breaks(&self) {
+        let Some(summary) = lock(&self.broken).take_summary(self.now()) else {
+            return;
+        };
+        let suspects: Vec<String> = summary.suspects.iter().map(ToString::to_string).collect();
+        let fields = json!({
+            "attempts": summary.attempts,
+            "runner": summary.runner.as_ref().map(|runner| runner.as_str()),
+            "group": summary.group.as_deref(),
+            "place": summary.place.as_ref().map(|place| place.as_str()),
+            "suspects": suspects,
+        });
+        self.log
+            .line(EventCategory::Failure, "broke_together", fields);
+    }
+
     /// Takes over what other entries know of requests that crash runners.
     pub(crate) fn learn_crashes(&self, notes: &[CrashNote]) {
         let blocked = |tracker: &CrashTracker, now| tracker.blocked_count(now);
@@ -493,6 +526,7 @@
             state.refresh_services();
         }
         state.report_gauges();
+        state.log_breaks();
         state.dispatch_all();
         state.upstreams.close_idle(state.now());
     }
--- a/src/rank/wire.rs
+++ b/src/rank/wire.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use wisteriawick_core::gateway::CrashNote;
 use wisteriawick_core::gateway::CrashSuspect;
+use wisteriawick_core::gateway::GroupRank;
 use wisteriawick_core::gateway::LoadReport;
 use wisteriawick_core::ids::Fingerprint;
 use wisteriawick_core::ids::PromptPart;
@@ -177,6 +178,15 @@
     pub(crate) size: usize,
 }
 
+impl From<PositionWire> for GroupRank {
+    fn from(wire: PositionWire) -> Self {
+        Self {
+            group: wire.group.into(),
+            rank: wire.rank,
+        }
+    }
+}
+
 impl From<&RankState> for PositionWire {
     fn from(state: &RankState) -> Self {
         Self {
