A frame of a link that began must end within five seconds

A reader that had the first bytes of a frame waited for the rest for as long as the link lived; a peer that stopped within a frame kept its task and its buffer. The wait for the next frame has no limit, and reading stays cancel-safe.

--- a/src/link.rs
+++ b/src/link.rs
@@ -15,6 +15,7 @@
 pub use dial::Link;
 pub use dial::LinkEvent;
 pub use dial::spawn_dialer;
+pub use frame::FrameError;
 pub use frame::FrameReader;
 pub use frame::FrameWriter;
 pub use frame::MAX_FRAME_BYTES;
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -4,14 +4,19 @@
 //! 32-bit number.
 
 use std::future::Future;
+use std::time::Duration;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 use crate::link::activity::StreamGuard;
 
 /// Maximum size of a frame, without its length prefix.
 pub const MAX_FRAME_BYTES: usize = 10 * 1024 * 1024;
+/// Longest time for which a reader waits for the rest of a frame.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(5);
 /// Size of the length prefix of a frame.
 const LENGTH_BYTES: usize = 4;
 /// Maximum number of bytes of one read from the stream.
@@ -26,6 +31,9 @@
     /// The bytes are not a valid frame.
     #[error("malformed frame ({0}); check that both ends run compatible versions")]
     Malformed(String),
+    /// A frame began and did not end within five seconds.
+    #[error("the rest of a frame did not arrive in time; check the peer and the path to it")]
+    TooSlow,
 }
 
 /// Writes frames to a stream.
@@ -123,6 +131,8 @@
     buf: Vec<u8>,
     /// Start of the bytes in `buf` that are not decoded yet.
     start: usize,
+    /// When the frame that has begun to arrive must be complete.
+    frame_due: Option<Instant>,
 }
 
 impl FrameReader {
@@ -133,6 +143,7 @@
             _guard: None,
             buf: Vec::new(),
             start: 0,
+            frame_due: None,
         }
     }
 
@@ -146,20 +157,16 @@
     ///
     /// # Errors
     ///
-    /// Fails when the link closed, the stream ended within a frame, or the
-    /// bytes are not a valid frame.
+    /// Fails when the link closed, the stream ended within a frame, the bytes are not
+    /// a valid frame, or a frame that has begun does not end in time.
     pub async fn read<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
         loop {
             if let Some(value) = self.decode_buffered()? {
+                self.frame_due = None;
                 return Ok(Some(value));
             }
             self.compact();
-            let chunk = self
-                .stream
-                .read_chunk(MAX_READ_BYTES, true)
-                .await
-                .map_err(|e| FrameError::Closed(e.to_string()))?;
-            match chunk {
+            match self.read_chunk().await? {
                 Some(chunk) => self.buf.extend_from_slice(&chunk.bytes),
                 None if self.buf.is_empty() => return Ok(None),
                 None => return Err(FrameError::Malformed("the stream ended mid-frame".into())),
@@ -167,6 +174,21 @@
         }
     }
 
+    /// Reads what has arrived, and waits for it if that is nothing.
+    async fn read_chunk(&mut self) -> Result<Option<quinn::Chunk>, FrameError> {
+        if self.frame_due.is_none() && !self.buf.is_empty() {
+            self.frame_due = Some(Instant::now() + FRAME_TIMEOUT);
+        }
+        let reading = self.stream.read_chunk(MAX_READ_BYTES, true);
+        let read = match self.frame_due {
+            Some(due) => timeout_at(due, reading)
+                .await
+                .map_err(|_| FrameError::TooSlow)?,
+            None => reading.await,
+        };
+        read.map_err(|e| FrameError::Closed(e.to_string()))
+    }
+
     /// Decodes the next frame if the buffer holds it completely.
     ///
     /// # Errors
