The operator's client reads documents within bounds of size and time

Only the head of a response had a limit (10 s); a port that dripped or sent without end kept a command busy or filled its memory.

The stand-in of the engine tests became tests/support/endless.rs, which both files use.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -314,9 +314,6 @@
     fn read(&self) -> Result<OperatorClient> {
         let token =
             std::fs::read_to_string(&self.token_file).map_err(Error::file(&self.token_file))?;
-        Ok(OperatorClient {
-            url: self.entry.trim_end_matches('/').to_string(),
-            token: token.trim().to_string(),
-        })
+        Ok(OperatorClient::new(&self.entry, &token))
     }
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, unreachable_pub)]
 
+pub mod endless;
 pub mod process;
 
 use std::future::Future;
