--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -5,6 +5,8 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -90,6 +92,18 @@
     suspects: Vec<CrashSuspect>,
     /// Set if the request was sent to find out whether it still crashes runners.
     trial: Mutex<Option<CrashTrial>>,
+    /// The runner of the last attempt.
+    last_runner: Mutex<Option<ListedRunner>>,
+    /// Whether the caller has the outcome, or will learn that there is none.
+    has_outcome: AtomicBool,
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if !self.has_outcome.load(Ordering::Relaxed) {
+            self.log_caller_left();
+        }
+    }
 }
 
 /// What keeps a request from being sent to runners.
@@ -168,6 +182,8 @@
         deadline,
         suspects,
         trial: Mutex::default(),
+        last_runner: Mutex::default(),
+        has_outcome: AtomicBool::new(false),
     };
     match stop {
         Some(stop) if !exchange.is_taken_during(stop) => exchange.refuse_during(stop),
@@ -445,7 +461,8 @@
     /// # Errors
     ///
     /// Returns what keeps it from being sent, if it crashes runners.
-    pub(crate) fn begin_attempt(&self) -> Result<(), Block> {
+    pub(crate) fn begin_attempt(&self, runner: &ListedRunner) -> Result<(), Block> {
+        *lock(&self.last_runner) = Some(runner.clone());
         let mut trial = lock(&self.trial);
         let begun = self
             .state
@@ -566,8 +583,20 @@
         self.state.now().saturating_duration_since(self.arrived)
     }
 
+    /// Logs and counts that the caller closed its connection before the response was
+    /// complete.
+    fn log_caller_left(&self) {
+        self.count_outcome("caller left");
+        let category = EventCategory::Failure;
+        match &*lock(&self.last_runner) {
+            Some(runner) => self.log_at(category, "caller_left", runner, json!({})),
+            None => self.log(category, "caller_left", json!({})),
+        }
+    }
+
     /// Counts the request by its outcome.
     pub(crate) fn count_outcome(&self, outcome: &'static str) {
+        self.has_outcome.store(true, Ordering::Relaxed);
         counter!(telemetry::REQUESTS, "outcome" => outcome).increment(1);
     }
 
