--- a/crates/core/src/gateway/crash_tracker.rs
+++ b/crates/core/src/gateway/crash_tracker.rs
@@ -346,15 +346,15 @@
         records.map(|record| record.runners.len()).sum()
     }
 
-    /// Takes over what another process knows. Notes that tell nothing new change nothing
-    /// and are not passed on.
-    pub fn merge(&mut self, now: Instant, note: &CrashNote) {
+    /// Takes over what another process knows; returns whether that was new. Notes that
+    /// tell nothing new change nothing and are not passed on.
+    pub fn merge(&mut self, now: Instant, note: &CrashNote) -> bool {
         let suspect = note.suspect;
         let until = now + note.blocked_for.min(MAX_BLOCK_TIME);
         let is_trusted = note.is_trusted || self.is_trusted(suspect);
         let record = self.record(now, suspect);
         if note.generation < record.generation {
-            return;
+            return false;
         }
         let mut is_news = is_trusted != note.is_trusted || is_trusted && !record.is_trusted;
         if note.generation > record.generation {
@@ -371,7 +371,7 @@
         record.moments = record.moments.max(note.moments);
         is_news |= crashes > known || until > record.blocked_until + MIN_EXTENSION;
         if !is_news {
-            return;
+            return false;
         }
         record.blocked_until = record.blocked_until.max(until);
         if crashes > known.max(note.runners.len()) {
@@ -381,6 +381,7 @@
         }
         let note = record.to_note(now, suspect);
         self.notes.push(note);
+        true
     }
 
     /// Returns all that another process which begins must know.
--- a/crates/faults/src/crash_notes.rs
+++ b/crates/faults/src/crash_notes.rs
@@ -278,7 +278,9 @@
         self.messages = waiting;
         for message in due {
             match message.to {
-                None => self.leader.merge(now, &message.note),
+                None => {
+                    self.leader.merge(now, &message.note);
+                }
                 Some(entry) if linked_at[entry] <= step => {
                     self.entries[entry].merge(now, &message.note);
                 }
--- a/src/crash_board.rs
+++ b/src/crash_board.rs
@@ -59,13 +59,16 @@
         result
     }
 
-    /// Takes over notes of another process.
-    pub(crate) fn merge(&self, notes: &[CrashNote]) {
+    /// Takes over notes of another process. If they tell something new, returns how many
+    /// suspects are blocked then.
+    pub(crate) fn merge(&self, notes: &[CrashNote]) -> Option<usize> {
         self.update(|tracker, now| {
+            let mut is_news = false;
             for note in notes {
-                tracker.merge(now, note);
+                is_news |= tracker.merge(now, note);
             }
-        });
+            is_news.then(|| tracker.blocked_count(now))
+        })
     }
 
     /// Subscribes to the changes from now on.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -257,11 +257,12 @@
 async fn run(exchange: Arc<Exchange>) -> Response<Body> {
     let state = &exchange.state;
     let now = state.now();
-    state
-        .crashes
-        .update(|tracker, _| tracker.record_arrival(&exchange.suspects));
-    if let Some(block) = exchange.block() {
-        return exchange.refuse_blocked(block);
+    let blocked = state.crashes.update(|tracker, now| {
+        tracker.record_arrival(&exchange.suspects);
+        tracker.blocked_by(now, &exchange.suspects)
+    });
+    if let Some((suspect, time)) = blocked {
+        return exchange.refuse_blocked(Block { suspect, time });
     }
     state.with_service(&exchange.service, |service_state| {
         service_state.budget.record_request(now)
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,6 +10,7 @@
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -27,7 +28,6 @@
 use wisteriawick_core::gateway::BrokenTogether;
 use wisteriawick_core::gateway::CrashNote;
 use wisteriawick_core::gateway::CrashSuspect;
-use wisteriawick_core::gateway::CrashTracker;
 use wisteriawick_core::gateway::Declaration;
 use wisteriawick_core::gateway::DequeuedRequest;
 use wisteriawick_core::gateway::EntryCount;
@@ -100,6 +100,8 @@
     services: Mutex<HashMap<ServiceId, ServiceState>>,
     /// Requests that crash runners.
     pub(crate) crashes: CrashBoard,
+    /// How many suspects were blocked when that was last looked at.
+    blocked_suspects: AtomicUsize,
     pub(crate) crash_probes: CrashProbes,
     /// Groups and ranks of the runners.
     pub(crate) positions: RankPositions,
@@ -140,6 +142,7 @@
             runner_registry: Mutex::default(),
             services: Mutex::default(),
             crashes: CrashBoard::new(Arc::clone(&clock)),
+            blocked_suspects: AtomicUsize::new(0),
             crash_probes: CrashProbes::default(),
             positions: RankPositions::default(),
             broken: Mutex::default(),
@@ -415,12 +418,11 @@
 
     /// Takes over what other entries know of requests that crash runners.
     pub(crate) fn learn_crashes(&self, notes: &[CrashNote]) {
-        let blocked = |tracker: &CrashTracker, now| tracker.blocked_count(now);
-        let before = self.crashes.update(|tracker, now| blocked(tracker, now));
-        self.crashes.merge(notes);
-        let after = self.crashes.update(|tracker, now| blocked(tracker, now));
-        if before != after {
-            let fields = json!({"blocked_before": before, "blocked": after});
+        let Some(blocked) = self.crashes.merge(notes) else {
+            return;
+        };
+        if self.blocked_suspects.swap(blocked, Ordering::Relaxed) != blocked {
+            let fields = json!({"blocked": blocked});
             self.log
                 .line(EventCategory::State, "crashes_learned", fields);
         }
@@ -436,6 +438,7 @@
         let blocked = self
             .crashes
             .update(|tracker, now| tracker.blocked_count(now));
+        self.blocked_suspects.store(blocked, Ordering::Relaxed);
         gauge!(telemetry::BLOCKED_SUSPECTS).set(blocked as f64);
     }
 
