Soak of crashing requests: faults overlap, and the store returns from older copies

Faults of entries ran one after the other with those of the agent and the store. They overlap now, entries are also reloaded and told to stop, and the store is away and returns from a copy in which others' writes are missing; those are written again, and runners that had gone expire. The entries stand before a linked group here, which the other soak has not.

--- a/crates/soak/src/crashes.rs
+++ b/crates/soak/src/crashes.rs
@@ -1,6 +1,6 @@
 //! Soak test of requests that crash runners: they are sent again and again through entries
-//! which are killed, stopped and frozen, as is the agent that links them, while sound
-//! requests of the same caller go on.
+//! which are killed, stopped and frozen, while the agent that links them is killed and the
+//! store returns from older copies, and sound requests of the same caller go on.
 
 use std::path::Path;
 use std::sync::Arc;
@@ -50,6 +50,8 @@
 /// Time for entries to link to the agent.
 const LINK_TIME: Duration = Duration::from_millis(1_200);
 const SEND_INTERVAL: Duration = Duration::from_millis(25);
+/// Time until a restored store misses the heartbeats of runners that are gone.
+const EXPIRY_TIME: Duration = Duration::from_millis(900);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A deliberate defect, which shows that the check finds it.
@@ -261,60 +263,123 @@
     }
 }
 
-/// Injects faults of entries, the agent and the store, one after the other.
+/// Injects faults of entries one after the other and, beside them, faults of what they
+/// share.
 async fn inject(
     fleet: Arc<Fleet>,
-    mut agent: Agent,
+    agent: Agent,
     mut rng: SmallRng,
     duration: Duration,
 ) -> std::io::Result<()> {
+    let shared_rng = SmallRng::seed_from_u64(rng.random());
     let deadline = Instant::now() + duration;
-    while Instant::now() < deadline {
-        let gap = Duration::from_millis(rng.random_range(100..1_200));
-        tokio::time::sleep(gap).await;
-        let outage = Duration::from_millis(rng.random_range(50..1_000));
-        let entry = &fleet.entries[rng.random_range(0..ENTRIES)];
-        let (name, outage_ms) = (&entry.name, outage.as_millis());
-        let record = |text: String| fleet.report.record_fault(&text);
-        match rng.random_range(0..4) {
-            0 => {
-                record(format!("{name} killed for {outage_ms} ms"));
-                entry.begin_outage();
-                entry.kill();
-                tokio::time::sleep(outage).await;
-                entry.start()?;
-                fleet.wait_entry(entry).await;
-                entry.end_outage();
-            }
-            1 => {
-                record(format!("{name} frozen for {outage_ms} ms"));
-                entry.begin_outage();
-                entry.signal(Signal::STOP);
-                tokio::time::sleep(outage).await;
-                entry.signal(Signal::CONT);
-                entry.end_outage();
-            }
-            2 => {
-                record(format!("agent killed for {outage_ms} ms"));
-                agent.signal(Signal::KILL);
-                if !agent.wait_exit().await? {
-                    fleet.report.record_violation("the agent did not exit");
+    let entries = fleet.inject_into_entries(rng, deadline);
+    let shared = fleet.inject_into_shared(agent, shared_rng, deadline);
+    tokio::try_join!(entries, shared)?;
+    Ok(())
+}
+
+impl Fleet {
+    async fn inject_into_entries(
+        &self,
+        mut rng: SmallRng,
+        deadline: Instant,
+    ) -> std::io::Result<()> {
+        while Instant::now() < deadline {
+            pause(&mut rng).await;
+            let outage = random_outage(&mut rng);
+            let entry = &self.entries[rng.random_range(0..ENTRIES)];
+            let record = |fault: &str| {
+                let text = format!("{} {fault} for {} ms", entry.name, outage.as_millis());
+                self.report.record_fault(&text);
+            };
+            entry.begin_outage();
+            match rng.random_range(0..4) {
+                0 => {
+                    record("killed");
+                    entry.kill();
+                    tokio::time::sleep(outage).await;
+                    entry.start()?;
+                }
+                1 => {
+                    record("frozen");
+                    entry.signal(Signal::STOP);
+                    tokio::time::sleep(outage).await;
+                    entry.signal(Signal::CONT);
+                }
+                2 => {
+                    record("stopping before it is killed");
+                    entry.signal(Signal::TERM);
+                    tokio::time::sleep(outage).await;
+                    entry.kill();
+                    entry.start()?;
+                }
+                _ => {
+                    record("told to reload");
+                    entry.signal(Signal::HUP);
                 }
-                tokio::time::sleep(outage).await;
-                agent.restart()?;
             }
-            _ => {
-                record(format!("store silent for {outage_ms} ms"));
-                fleet.store.set_faults(|faults| faults.silent = true);
-                tokio::time::sleep(outage).await;
-                fleet.store.set_faults(|faults| faults.silent = false);
+            self.wait_entry(entry).await;
+            entry.end_outage();
+        }
+        Ok(())
+    }
+
+    async fn inject_into_shared(
+        &self,
+        mut agent: Agent,
+        mut rng: SmallRng,
+        deadline: Instant,
+    ) -> std::io::Result<()> {
+        while Instant::now() < deadline {
+            pause(&mut rng).await;
+            let outage = random_outage(&mut rng);
+            let record = |fault: &str| {
+                let text = format!("{fault} for {} ms", outage.as_millis());
+                self.report.record_fault(&text);
+            };
+            match rng.random_range(0..3) {
+                0 => {
+                    record("agent killed");
+                    agent.signal(Signal::KILL);
+                    if !agent.wait_exit().await? {
+                        self.report.record_violation("the agent did not exit");
+                    }
+                    tokio::time::sleep(outage).await;
+                    agent.restart()?;
+                }
+                1 => {
+                    record("store silent");
+                    self.silence_store(outage).await;
+                }
+                _ => {
+                    record("store silent, then back from an older copy,");
+                    self.restore_store(&mut rng, outage).await;
+                }
             }
         }
+        Ok(())
+    }
+
+    async fn silence_store(&self, outage: Duration) {
+        self.store.set_faults(|faults| faults.silent = true);
+        tokio::time::sleep(outage).await;
+        self.store.set_faults(|faults| faults.silent = false);
+    }
+
+    /// The store is away and returns from a copy. What others had written is written
+    /// again, and runners that had gone expire.
+    async fn restore_store(&self, rng: &mut SmallRng, outage: Duration) {
+        let copy = self.store.copy();
+        pause(rng).await;
+        self.silence_store(outage).await;
+        let before = self.store.copy();
+        self.store.restore(&copy);
+        self.store.write_again(&before);
+        tokio::time::sleep(EXPIRY_TIME).await;
+        self.store.expire_removed(&copy, &before);
     }
-    Ok(())
-}
 
-impl Fleet {
     async fn wait_entry(&self, entry: &EntryProcess) {
         let deadline = Instant::now() + START_TIMEOUT;
         while !is_ready(entry).await && Instant::now() < deadline {
@@ -322,3 +387,12 @@
         }
     }
 }
+
+async fn pause(rng: &mut SmallRng) {
+    let gap = Duration::from_millis(rng.random_range(100..1_200));
+    tokio::time::sleep(gap).await;
+}
+
+fn random_outage(rng: &mut SmallRng) -> Duration {
+    Duration::from_millis(rng.random_range(50..1_000))
+}
