--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -15,6 +15,7 @@
 mod matrix;
 mod queue;
 mod request_path;
+mod restored_store;
 mod tickets;
 
 pub use crash_notes::CrashFaults;
@@ -39,3 +40,7 @@
 pub use matrix::run_case;
 pub use matrix::run_random_pairs;
 pub use matrix::run_single_faults;
+pub use restored_store::RestoreFaults;
+pub use restored_store::RestoreMutation;
+pub use restored_store::RestoreReport;
+pub use restored_store::run_restored_store;
