--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -647,11 +647,12 @@
             service_state.pool.request_counts()
         });
         let (in_flight, waiting) = counts.unwrap_or_default();
+        let limit = attempts.retry.limit.map(|limit| limit.to_string());
         self.log(
             EventCategory::Failure,
             "refused",
             json!({
-                "reason": "no room in time",
+                "reason": limit.as_deref().unwrap_or("no room in time"),
                 "in_flight": in_flight,
                 "waiting": waiting,
                 "retry_after_ms": retry_after.as_millis() as u64,
