--- a/crates/faults/src/restored_store.rs
+++ b/crates/faults/src/restored_store.rs
@@ -5,26 +5,23 @@
 //! the calls of entries are fakes. The store is away at any moment and returns from a copy
 //! of any age, once or twice, while declarations are acknowledged and runners leave.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use wisteriawick_core::gateway::CallerLimits;
-use wisteriawick_core::gateway::Declaration;
-use wisteriawick_core::gateway::LatestDeclaration;
-use wisteriawick_core::gateway::RunnerRegistry;
 use wisteriawick_core::hosting::Era;
 use wisteriawick_core::hosting::ListedRunner;
 use wisteriawick_core::hosting::ListedState;
-use wisteriawick_core::ids::RunnerId;
-use wisteriawick_core::ids::ServiceId;
 
+mod entry;
 mod fake_store;
 
-use fake_store::Change;
+use entry::Answer;
+use entry::Content;
+use entry::Entry;
+use entry::Position;
 use fake_store::FakeStore;
 
 const ENTRIES: usize = 3;
@@ -143,40 +140,6 @@
     leaving_known: bool,
 }
 
-struct Entry {
-    declaration: LatestDeclaration,
-    registry: RunnerRegistry,
-    /// Highest version served so far.
-    served: u64,
-    /// Era and revision up to which the entry knows the store; `None` before a listing.
-    position: Option<Position>,
-    /// The answer to the call under way.
-    answer: Option<Answer>,
-    /// An answer to a call that was given up.
-    late_answer: Option<Answer>,
-    call_at: u64,
-    had_runner: bool,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-struct Position {
-    era: Era,
-    revision: u64,
-}
-
-struct Answer {
-    arrives: u64,
-    era: Era,
-    content: Content,
-}
-
-enum Content {
-    Listing(Box<FakeStore>),
-    Changes(Vec<Change>, u64),
-    /// The revision is not in the store's history.
-    Gone,
-}
-
 impl Simulation {
     fn new(faults: RestoreFaults, mutation: Option<RestoreMutation>) -> Self {
         let mut rng = SmallRng::seed_from_u64(faults.seed);
@@ -203,16 +166,6 @@
         }
         runners[0].leaves_at = u64::MAX;
         runners[1].leaves_at = u64::MAX;
-        let entry = || Entry {
-            declaration: LatestDeclaration::default(),
-            registry: RunnerRegistry::default(),
-            served: 0,
-            position: None,
-            answer: None,
-            late_answer: None,
-            call_at: 0,
-            had_runner: false,
-        };
         Self {
             faults,
             mutation,
@@ -222,7 +175,7 @@
             copy: None,
             declared: 0,
             runners,
-            entries: (0..ENTRIES).map(|_| entry()).collect(),
+            entries: (0..ENTRIES).map(|_| Entry::new()).collect(),
             report: RestoreReport::default(),
         }
     }
@@ -474,55 +427,3 @@
         self.start + STEP * step as u32
     }
 }
-
-/// The start of each runner that takes new requests.
-type ReadyRunners = BTreeMap<RunnerId, Option<u64>>;
-
-impl Entry {
-    fn version(&self) -> u64 {
-        let current = self.declaration.get();
-        current.map_or(0, |declaration| declaration.version())
-    }
-
-    fn ready_runners(&self) -> ReadyRunners {
-        let runners = self.registry.of_service(&ServiceId::from("s"));
-        runners
-            .into_iter()
-            .filter(|runner| runner.state == ListedState::Ready)
-            .map(|runner| (runner.id, runner.started_unix_ms))
-            .collect()
-    }
-
-    fn take_declaration(&mut self, era: Era, version: u64, mutation: Option<RestoreMutation>) {
-        if mutation == Some(RestoreMutation::TakesAnyDeclaration) {
-            self.declaration = LatestDeclaration::default();
-        }
-        self.declaration.update(era, declaration(version));
-    }
-
-    fn apply_change(
-        &mut self,
-        now: Instant,
-        era: Era,
-        change: Change,
-        mutation: Option<RestoreMutation>,
-    ) {
-        match change {
-            Change::Declared(version) => self.take_declaration(era, version, mutation),
-            Change::RunnerWritten(runner) => {
-                self.registry.update(runner);
-            }
-            Change::RunnerRemoved(id) => self.registry.remove(now, &id),
-        }
-    }
-}
-
-fn declaration(version: u64) -> Declaration {
-    let limits = CallerLimits {
-        max_head_bytes: 16_384,
-        max_body_bytes: 1 << 20,
-        head_timeout: Duration::from_secs(3),
-        idle_timeout: Duration::from_secs(15),
-    };
-    Declaration::new(version, Vec::new(), Vec::new(), None, limits)
-}
