--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,6 +3,9 @@
 //! The request is matched to a route and assigned to runners until one of them
 //! responds, a failure rules out a retry, or the deadline is over.
 
+mod record;
+mod replies;
+
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -19,7 +22,6 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use metrics::counter;
-use metrics::histogram;
 use serde_json::json;
 use wisteriawick_core::gateway::AttemptOutcome;
 use wisteriawick_core::gateway::CrashSuspect;
@@ -36,17 +38,13 @@
 use wisteriawick_platform::CallerRequest;
 
 use crate::eventlog::EventCategory;
-use crate::eventlog::EventLog;
 use crate::gateway::attempt;
 use crate::gateway::attempt::AttemptResult;
-use crate::gateway::attempt::BufferedResponse;
 use crate::gateway::attempt::FailedAttempt;
 use crate::gateway::crash_probe::probe_runner;
 use crate::gateway::relay;
 use crate::gateway::response::Body;
-use crate::gateway::response::full_body;
 use crate::gateway::response::local_reply;
-use crate::gateway::response::response;
 use crate::gateway::slot_request::NoSlot;
 use crate::gateway::slot_request::SlotUse;
 use crate::gateway::slot_request::acquire_slot;
@@ -389,25 +387,6 @@
         stop.takes(self.state.now(), self.deadline, self.expected_time())
     }
 
-    /// Responds that this process is stopping and did not take the request.
-    fn refuse_during(&self, stop: StopSchedule) -> Response<Body> {
-        self.count_outcome("refused");
-        let retry_after = stop.retry_after(self.state.now());
-        self.log(
-            EventCategory::Failure,
-            "refused",
-            json!({
-                "reason": "stopping",
-                "after_stop_ms": self.arrived_after_stop.map(|time| time.as_millis() as u64),
-                "first_on_connection": self.is_first_on_connection,
-                "expected_ms": self.expected_time().as_millis() as u64,
-                "retry_after_ms": retry_after.as_millis() as u64,
-            }),
-        );
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        local_reply(&self.caller.id, status, Some(retry_after), "stopping")
-    }
-
     /// Returns the latest time at which sending the request to a runner is useful.
     pub(crate) fn latest_start(&self, slot_use: SlotUse) -> Instant {
         let route = &self.route_match.route;
@@ -497,198 +476,10 @@
         }
     }
 
-    /// Responds that the request crashes runners and was not sent to any.
-    fn refuse_blocked(&self, block: Block) -> Response<Body> {
-        self.count_outcome("blocked");
-        self.log(
-            EventCategory::Failure,
-            "refused",
-            json!({
-                "reason": "crashes runners",
-                "has": block.suspect.to_string(),
-                "retry_after_ms": block.time.as_millis() as u64,
-            }),
-        );
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        local_reply(&self.caller.id, status, Some(block.time), "blocked")
-    }
-
-    /// Responds when the request gets no slot at a runner any more.
-    fn respond_without_slot(&self, attempts: &RequestAttempts, no_slot: NoSlot) -> Response<Body> {
-        match no_slot {
-            NoSlot::Full { retry_after } => self.reject(attempts, retry_after),
-            NoSlot::Blocked(_) if attempts.retry.may_have_run => self.respond_unknown(),
-            NoSlot::Blocked(block) => self.refuse_blocked(block),
-        }
-    }
-
-    /// Writes a log line about this request; routine lines are sampled.
-    pub(crate) fn log(&self, category: EventCategory, kind: &str, fields: serde_json::Value) {
-        if category == EventCategory::Routine && !EventLog::is_sampled(&self.caller.id) {
-            return;
-        }
-        let mut line = json!({
-            "request": self.caller.id,
-            "route": self.route_match.route.name,
-            "age_ms": self.age().as_millis() as u64,
-        });
-        extend(&mut line, fields);
-        self.state.log.line(category, kind, line);
-    }
-
-    /// Writes a log line about this request at a runner; see [`log`](Self::log).
-    pub(crate) fn log_at(
-        &self,
-        category: EventCategory,
-        kind: &str,
-        runner: &ListedRunner,
-        fields: serde_json::Value,
-    ) {
-        let mut line = self.state.positions.log_fields(runner);
-        extend(&mut line, fields);
-        self.log(category, kind, line);
-    }
-
-    /// Logs that the request is cut off because the process ends.
-    pub(crate) fn log_cut_off(&self, fields: serde_json::Value) {
-        let mut line = json!({
-            "after_stop_ms": self.arrived_after_stop.map(|time| time.as_millis() as u64),
-            "first_on_connection": self.is_first_on_connection,
-        });
-        extend(&mut line, fields);
-        self.log(EventCategory::Failure, "cut_off", line);
-    }
-
-    /// Returns a runner's complete response to the caller.
-    fn forward(&self, buffered: BufferedResponse, runner: &ListedRunner) -> Response<Body> {
-        let status = buffered.status;
-        let category = match status.is_success() {
-            true => EventCategory::Routine,
-            false => EventCategory::Failure,
-        };
-        let fields = json!({"status": status.as_u16()});
-        self.log_at(category, "answered", runner, fields);
-        self.count_outcome(match status.is_success() {
-            true => "answered",
-            false => "failed by runner",
-        });
-        self.record_latency();
-        if status.is_success() {
-            self.record_times(self.age(), Duration::ZERO);
-        }
-        response(status, buffered.headers, full_body(buffered.body))
-    }
-
     /// Returns the time since the request arrived.
     pub(crate) fn age(&self) -> Duration {
         self.state.now().saturating_duration_since(self.arrived)
     }
-
-    /// Logs and counts that the caller closed its connection before the response was
-    /// complete.
-    fn log_caller_left(&self) {
-        self.count_outcome("caller left");
-        let category = EventCategory::Failure;
-        match &*lock(&self.last_runner) {
-            Some(runner) => self.log_at(category, "caller_left", runner, json!({})),
-            None => self.log(category, "caller_left", json!({})),
-        }
-    }
-
-    /// Counts the request by its outcome.
-    pub(crate) fn count_outcome(&self, outcome: &'static str) {
-        self.has_outcome.store(true, Ordering::Relaxed);
-        counter!(telemetry::REQUESTS, "outcome" => outcome).increment(1);
-    }
-
-    /// Records the time since the request head arrived.
-    pub(crate) fn record_latency(&self) {
-        let age = self.age();
-        let kind = match self.route_match.route.is_streaming {
-            true => "stream",
-            false => "plain",
-        };
-        histogram!(telemetry::RESPONSE_SECONDS, "kind" => kind).record(age.as_secs_f64());
-    }
-
-    /// Responds when the caller waits no longer or the process ends, depending on
-    /// whether the request may have been executed.
-    fn respond_due(&self, attempts: &RequestAttempts, due: Due) -> Response<Body> {
-        if attempts.is_in_flight || attempts.retry.may_have_run {
-            match due {
-                Due::Deadline => {
-                    self.record_times(self.age(), Duration::ZERO);
-                    self.count_outcome("timed out");
-                    self.log(EventCategory::Failure, "timed_out", json!({"sent": true}));
-                }
-                Due::Stop => {
-                    self.count_outcome("cut off");
-                    self.log_cut_off(json!({"events": 0}));
-                }
-            }
-            return local_reply(
-                &self.caller.id,
-                StatusCode::GATEWAY_TIMEOUT,
-                None,
-                "no answer in time",
-            );
-        }
-        self.reject(attempts, RETRY_AFTER_WAIT)
-    }
-
-    /// Responds that the request was not executed, or that this is unknown if it may
-    /// have been.
-    fn reject(&self, attempts: &RequestAttempts, retry_after: Duration) -> Response<Body> {
-        if attempts.retry.may_have_run {
-            return self.respond_unknown();
-        }
-        self.count_outcome("refused");
-        let counts = self.state.with_service(&self.service, |service_state| {
-            service_state.pool.request_counts()
-        });
-        let (in_flight, waiting) = counts.unwrap_or_default();
-        let limit = attempts.retry.limit.map(|limit| limit.to_string());
-        self.log(
-            EventCategory::Failure,
-            "refused",
-            json!({
-                "reason": limit.as_deref().unwrap_or("no room in time"),
-                "in_flight": in_flight,
-                "waiting": waiting,
-                "retry_after_ms": retry_after.as_millis() as u64,
-            }),
-        );
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        local_reply(
-            &self.caller.id,
-            status,
-            Some(retry_after),
-            "no room in time",
-        )
-    }
-
-    /// Responds that the request may have been executed.
-    fn respond_unknown(&self) -> Response<Body> {
-        self.count_outcome("unknown");
-        self.log(
-            EventCategory::Failure,
-            "failed",
-            json!({"reason": "may have run"}),
-        );
-        local_reply(
-            &self.caller.id,
-            StatusCode::BAD_GATEWAY,
-            None,
-            "the runner did not answer",
-        )
-    }
-}
-
-/// Adds fields to those of a log line.
-fn extend(line: &mut serde_json::Value, fields: serde_json::Value) {
-    if let (Some(line), serde_json::Value::Object(fields)) = (line.as_object_mut(), fields) {
-        line.extend(fields);
-    }
 }
 
 fn log_rejected(state: &GatewayState, id: &str, reason: &str) {
