After a request and its retry crashed runners, one other with its parts is tried

A request with the deadly part and its retry crashed a runner of each of the two groups (8.67 s, 8.89 s), which stop both for four seconds. When they accepted requests again, five entries sent requests with the same part at once: five more runners crashed within 70 ms (13.19 s), and the groups stopped for four seconds more.

Cause: the content of that one request explained the crashes as well as its parts, and a part blocks only requests that have all that explains as much. Any number of others with all its parts could go, although one would tell.

Now the first is a trial that is announced to all processes; others with the same parts come again after a second. Entries that begin at the same moment wait 25 ms for each other's announcements, and the lower number goes on. If it crashes a runner, the part has more crashes than the content and is blocked; if it is served, its parts are cleared. Requests that lack one of the parts go on as before. Notes carry the trial.

The first of the three new tests fails without the change (the third request may be sent too).

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -31,6 +31,7 @@
 pub use broken_together::BreakSummary;
 pub use broken_together::BrokenTogether;
 pub use crash_note::CrashNote;
+pub use crash_note::TrialNote;
 pub use crash_suspect::CrashSuspect;
 pub use crash_tracker::CrashTracker;
 pub use crash_tracker::CrashTrial;
--- a/crates/core/src/gateway/crash_note.rs
+++ b/crates/core/src/gateway/crash_note.rs
@@ -26,4 +26,15 @@
     /// Whether runners have executed requests that have the suspect, so that more crashes
     /// are needed to block it.
     pub is_trusted: bool,
+    /// The trial that holds back other requests which have the suspect, if there is one.
+    pub trial: Option<TrialNote>,
+}
+
+/// A request that is sent to find out which of several suspects crashes runners.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TrialNote {
+    /// Tells it from other requests; of two at the same time the lower one goes on.
+    pub id: u64,
+    /// How much longer it holds back others.
+    pub remaining: Duration,
 }
--- a/crates/core/src/gateway/crash_record.rs
+++ b/crates/core/src/gateway/crash_record.rs
@@ -5,6 +5,7 @@
 
 use crate::gateway::CrashNote;
 use crate::gateway::CrashSuspect;
+use crate::gateway::TrialNote;
 use crate::ids::RunnerId;
 
 /// Number of crashed runners at which a suspect is blocked.
@@ -29,7 +30,7 @@
 pub(crate) const MAX_BLOCK_TIME: Duration = Duration::from_secs(24 * 3600);
 /// How long a suspect whose block is over is held back after one attempt, so that its
 /// result is known before the next.
-const TRIAL_TIME: Duration = Duration::from_secs(5);
+pub(crate) const TRIAL_TIME: Duration = Duration::from_secs(5);
 /// How long a suspect is remembered after its last crash or the end of its block.
 const RETENTION: Duration = Duration::from_secs(600);
 /// Maximum number of crashed runners kept for one suspect.
@@ -50,6 +51,18 @@
     /// When the last of these began here.
     moment_began: Instant,
     last_change: Instant,
+    /// The request that is sent to find out whether this suspect or another one is the
+    /// reason of the crashes that they share.
+    pub(crate) announced: Option<AnnouncedTrial>,
+}
+
+/// A trial that all entries know of before it begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct AnnouncedTrial {
+    /// As [`TrialNote::id`].
+    pub(crate) id: u64,
+    /// When it no longer holds back others.
+    pub(crate) until: Instant,
 }
 
 /// How well a suspect explains crashes; the greater explains those that two share.
@@ -76,6 +89,7 @@
             moments: 0,
             moment_began: now,
             last_change: now,
+            announced: None,
         }
     }
 
@@ -122,6 +136,7 @@
         if is_new {
             self.runners.push(runner.clone());
             self.last_change = now;
+            self.announced = None;
         }
         is_new
     }
@@ -141,6 +156,7 @@
         self.moments = 0;
         self.blocked_until = now;
         self.last_change = now;
+        self.announced = None;
     }
 
     /// Returns how long the recorded crashes block the suspect.
@@ -162,6 +178,26 @@
         self.last_change = now;
     }
 
+    /// Announces a trial, unless one with a lower number is under way; returns whether that
+    /// is new.
+    pub(crate) fn announce(&mut self, now: Instant, trial: AnnouncedTrial) -> bool {
+        let is_first = self
+            .announced
+            .is_none_or(|known| now >= known.until || trial.id < known.id);
+        let is_new = now < trial.until && is_first;
+        if is_new {
+            self.announced = Some(trial);
+        }
+        is_new
+    }
+
+    /// Returns the end of a trial of another request that is under way.
+    pub(crate) fn held_until(&self, now: Instant, own_id: u64) -> Option<Instant> {
+        self.announced
+            .filter(|trial| now < trial.until && trial.id != own_id)
+            .map(|trial| trial.until)
+    }
+
     /// Returns when one request may be tried if nearly all requests have the suspect.
     pub(crate) fn next_trial_if_common(&self) -> Instant {
         let further = self.runners.len().saturating_sub(CRASHES_BEFORE_BLOCK);
@@ -177,6 +213,10 @@
             runners: self.runners.clone(),
             blocked_for: self.blocked_until.saturating_duration_since(now),
             is_trusted: self.is_trusted,
+            trial: self.announced.map(|trial| TrialNote {
+                id: trial.id,
+                remaining: trial.until.saturating_duration_since(now),
+            }),
         }
     }
 }
--- a/crates/core/src/gateway/crash_tracker.rs
+++ b/crates/core/src/gateway/crash_tracker.rs
@@ -13,8 +13,10 @@
 //! requests run beside those that crash a runner, so the crash counts against a suspect
 //! only if no stronger one explains it. One that runners had executed before needs more
 //! crashes, one that nearly all requests have is tried again sooner, and a part that is
-//! always in the same requests as other suspects blocks only those that have them all.
-//! A response that is no server error clears all that its request has.
+//! always in the same requests as other suspects blocks only those that have them all. If
+//! the same request crashed all runners, its content explains as much as its parts; then
+//! one other request with the parts is tried, and all processes hold back the rest until
+//! its result is known. A response that is no server error clears all that its request has.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -24,9 +26,11 @@
 use crate::gateway::CrashNote;
 use crate::gateway::CrashSuspect;
 use crate::gateway::common_parts::CommonParts;
+use crate::gateway::crash_record::AnnouncedTrial;
 use crate::gateway::crash_record::CRASHES_BEFORE_BLOCK;
 use crate::gateway::crash_record::CrashRecord;
 use crate::gateway::crash_record::MAX_BLOCK_TIME;
+use crate::gateway::crash_record::TRIAL_TIME;
 use crate::gateway::sound_parts::SoundParts;
 use crate::ids::RunnerId;
 
@@ -37,6 +41,9 @@
 const PROOF_TIMEOUT: Duration = Duration::from_secs(6);
 /// How long attempts that break count against a runner that has crashed.
 const CRASH_AFTERMATH: Duration = Duration::from_secs(2);
+/// Time after which a request that waits for another one's trial should come again. Its
+/// result is known within a second or two.
+const MAX_TRIAL_WAIT: Duration = Duration::from_secs(1);
 /// Maximum number of suspects tracked.
 const MAX_TRACKED_SUSPECTS: usize = 4096;
 /// Maximum number of broken attempts that wait for a proof.
@@ -64,6 +71,27 @@
 pub struct CrashTrial {
     /// Crashes that counted against what the request has when the trial began.
     crashes: usize,
+    /// The number under which it was announced, if it has to be the only one.
+    announced: Option<u64>,
+}
+
+impl CrashTrial {
+    /// Returns whether the request must wait for announcements of others, and then for
+    /// [`CrashTracker::confirm`].
+    pub fn is_announced(&self) -> bool {
+        self.announced.is_some()
+    }
+}
+
+/// Whether a request has all that explains the same crashes as one of its suspects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Rivals {
+    /// It has.
+    All,
+    /// It has all parts, but another content than the request that crashed the runners.
+    AllParts,
+    /// It lacks a part.
+    Some,
 }
 
 /// An attempt whose connection broke while the runner had the request.
@@ -224,13 +252,17 @@
         now: Instant,
         suspects: &[CrashSuspect],
     ) -> Option<(CrashSuspect, Duration)> {
-        let blocked_until = suspects
-            .iter()
-            .filter_map(|suspect| {
-                let may_try = self.is_only_suspect(*suspect, suspects);
-                Some((*suspect, self.blocked_until(now, *suspect, may_try)?))
-            })
-            .filter(|(suspect, _)| self.has_all_rivals(*suspect, suspects));
+        let blocked_until = suspects.iter().filter_map(|suspect| {
+            let may_try = self.is_only_suspect(*suspect, suspects);
+            let until = self.blocked_until(now, *suspect, may_try)?;
+            let until = match self.rivals(*suspect, suspects) {
+                Rivals::All => Some(until),
+                Rivals::AllParts => self.held_by_trial(now, *suspect, suspects),
+                // It may be sent, which tells the reasons apart.
+                Rivals::Some => None,
+            };
+            Some((*suspect, until?))
+        });
         blocked_until
             .max_by_key(|(_, until)| *until)
             .map(|(suspect, until)| (suspect, until - now))
@@ -262,17 +294,35 @@
         proven.max(self.suspected_until(now, suspect))
     }
 
-    /// Returns whether a request has all that explains the same crashes as this part of its
-    /// prompt. One that has only some of it may be sent, which tells the reasons apart.
-    fn has_all_rivals(&self, suspect: CrashSuspect, suspects: &[CrashSuspect]) -> bool {
+    /// Returns how much of what explains the same crashes as this suspect a request has.
+    fn rivals(&self, suspect: CrashSuspect, suspects: &[CrashSuspect]) -> Rivals {
         let (CrashSuspect::Part(_), Some(record)) = (suspect, self.records.get(&suspect)) else {
-            return true;
+            return Rivals::All;
         };
-        let mut rivals = self
-            .records
-            .iter()
-            .filter(|(_, rival)| rival.has_same_crashes(record));
-        rivals.all(|(rival, _)| suspects.contains(rival))
+        let mut has = Rivals::All;
+        for (rival, other) in &self.records {
+            if suspects.contains(rival) || !other.has_same_crashes(record) {
+                continue;
+            }
+            match rival {
+                CrashSuspect::Part(_) => return Rivals::Some,
+                CrashSuspect::Request(_) => has = Rivals::AllParts,
+            }
+        }
+        has
+    }
+
+    /// Returns until when a request should not come again since the trial of another one
+    /// is under way.
+    fn held_by_trial(
+        &self,
+        now: Instant,
+        suspect: CrashSuspect,
+        suspects: &[CrashSuspect],
+    ) -> Option<Instant> {
+        let record = self.records.get(&suspect)?;
+        let until = record.held_until(now, trial_id(suspects))?;
+        Some(until.min(now + MAX_TRIAL_WAIT))
     }
 
     /// Returns how many of a suspect's crashes no stronger suspect explains.
@@ -325,13 +375,23 @@
         if let Some(blocked) = self.blocked_by(now, suspects) {
             return Err(blocked);
         }
+        let id = trial_id(suspects);
         let mut begun = None;
         for suspect in suspects {
+            let is_announced = self.rivals(*suspect, suspects) == Rivals::AllParts;
             if let Some(record) = self.records.get_mut(suspect)
                 && record.needs_trial()
             {
                 record.begin_trial(now);
-                begun = Some(CrashTrial { crashes });
+                let trial = begun.get_or_insert(CrashTrial {
+                    crashes,
+                    announced: None,
+                });
+                if is_announced {
+                    trial.announced = Some(id);
+                    let until = now + TRIAL_TIME;
+                    record.announce(now, AnnouncedTrial { id, until });
+                }
                 let note = record.to_note(now, *suspect);
                 self.notes.push(note);
             }
@@ -339,6 +399,33 @@
         Ok(begun)
     }
 
+    /// Confirms an announced trial once the announcements of others have had the time to
+    /// arrive.
+    ///
+    /// # Errors
+    ///
+    /// Returns what blocks the request and for how long, if another one is tried first or
+    /// a runner crashed meanwhile.
+    pub fn confirm(
+        &self,
+        now: Instant,
+        suspects: &[CrashSuspect],
+        trial: CrashTrial,
+    ) -> Result<(), (CrashSuspect, Duration)> {
+        let Some(id) = trial.announced else {
+            return Ok(());
+        };
+        let has_crashed = self.crash_count(suspects) != trial.crashes;
+        if has_crashed && let Some(blocked) = self.blocked_by(now, suspects) {
+            return Err(blocked);
+        }
+        let held = suspects.iter().find_map(|suspect| {
+            let until = self.records.get(suspect)?.held_until(now, id)?;
+            Some((*suspect, until.min(now + MAX_TRIAL_WAIT) - now))
+        });
+        held.map_or(Ok(()), Err)
+    }
+
     fn crash_count(&self, suspects: &[CrashSuspect]) -> usize {
         let records = suspects
             .iter()
@@ -367,6 +454,11 @@
             record.add_runner(now, runner);
         }
         let crashes = record.runners.len();
+        let trial = note.trial.map(|trial| AnnouncedTrial {
+            id: trial.id,
+            until: now + trial.remaining.min(TRIAL_TIME),
+        });
+        is_news |= trial.is_some_and(|trial| record.announce(now, trial));
         is_news |= note.moments > record.moments;
         record.moments = record.moments.max(note.moments);
         is_news |= crashes > known || until > record.blocked_until + MIN_EXTENSION;
@@ -410,3 +502,12 @@
         blocked.count()
     }
 }
+
+/// Returns the number of a request's trial: its content tells it from others.
+fn trial_id(suspects: &[CrashSuspect]) -> u64 {
+    let content = suspects.iter().find_map(|suspect| match suspect {
+        CrashSuspect::Request(content) => Some(content.0 as u64),
+        CrashSuspect::Part(_) => None,
+    });
+    content.unwrap_or(u64::MAX)
+}
--- a/crates/core/tests/gateway_crashes.rs
+++ b/crates/core/tests/gateway_crashes.rs
@@ -162,6 +162,7 @@
                 runners: vec!["r0".into()],
                 blocked_for: Duration::ZERO,
                 is_trusted: false,
+                trial: None,
             },
         );
         tracker.take_notes();
--- a/crates/core/tests/gateway_crashing_parts.rs
+++ b/crates/core/tests/gateway_crashing_parts.rs
@@ -232,3 +232,82 @@
     );
     assert!(is_blocked(&tracker, later, &[COMMON, DEADLY]));
 }
+
+/// Passes what each process has to tell on to the other, until nothing is new.
+fn exchange_notes(trackers: &mut [CrashTracker; 2], now: Instant) {
+    for (from, to) in [(0, 1), (1, 0), (0, 1)] {
+        for note in trackers[from].take_notes() {
+            trackers[to].merge(now, &note);
+        }
+    }
+}
+
+/// Returns two processes that know of a request which crashed two runners, with a retry.
+fn after_a_retry(now: Instant) -> [CrashTracker; 2] {
+    let mut trackers = [CrashTracker::default(), CrashTracker::default()];
+    for runner in ["r0", "r1"] {
+        let deadly = request(1, &[COMMON, DEADLY]);
+        crash(&mut trackers[0], now, runner, &[deadly]);
+    }
+    exchange_notes(&mut trackers, now);
+    trackers
+}
+
+/// A request and its retry crashed two runners of two large groups. When these accepted
+/// requests again, all others with its part were sent at once.
+#[test]
+fn after_a_request_and_its_retry_one_other_with_its_parts_is_tried() {
+    let now = Instant::now();
+    let [mut tracker, mut other] = after_a_retry(now);
+    let second = request(2, &[COMMON, DEADLY]);
+    let third = request(3, &[COMMON, DEADLY]);
+    assert!(tracker.begin(now, &second, None).is_ok());
+    assert!(tracker.begin(now, &third, None).is_err(), "one at a time");
+    let sound = request(4, &[COMMON, 10]);
+    assert!(tracker.begin(now, &sound, None).is_ok(), "it lacks a part");
+
+    for note in tracker.take_notes() {
+        other.merge(now, &note);
+    }
+    assert!(other.begin(now, &third, None).is_err(), "elsewhere too");
+
+    crash(&mut tracker, now, "r2", std::slice::from_ref(&second));
+    let later = now + 10 * SECOND;
+    assert!(tracker.begin(later, &third, None).is_err(), "three crashes");
+}
+
+#[test]
+fn a_trial_that_ends_well_lets_all_others_with_its_parts_go_on() {
+    let now = Instant::now();
+    let [mut tracker, _] = after_a_retry(now);
+    let second = request(2, &[COMMON, DEADLY]);
+    assert!(tracker.begin(now, &second, None).is_ok());
+    tracker.clear(now, &second);
+    for content in 3..9 {
+        let next = request(content, &[COMMON, DEADLY]);
+        assert!(tracker.begin(now, &next, None).is_ok());
+    }
+    let first = request(1, &[COMMON, DEADLY]);
+    assert!(tracker.begin(now, &first, None).is_err(), "its content");
+}
+
+#[test]
+fn of_two_trials_that_begin_at_the_same_time_one_goes_on() {
+    let now = Instant::now();
+    let mut trackers = after_a_retry(now);
+    let requests = [request(2, &[COMMON, DEADLY]), request(3, &[COMMON, DEADLY])];
+    let trials: Vec<_> = trackers
+        .iter_mut()
+        .zip(&requests)
+        .map(|(tracker, request)| {
+            let begun = tracker
+                .begin(now, request, None)
+                .expect("nothing known yet");
+            begun.expect("a trial")
+        })
+        .collect();
+    assert!(trials.iter().all(|trial| trial.is_announced()));
+    exchange_notes(&mut trackers, now);
+    let confirmed = |n: usize| trackers[n].confirm(now, &requests[n], trials[n]).is_ok();
+    assert_eq!([confirmed(0), confirmed(1)], [true, false]);
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -296,7 +296,7 @@
 ) -> Result<ResponseStart, FailedAttempt> {
     let mut upstream = connect(exchange, slot).await?;
     let req = build_request(exchange, slot, last_event)?;
-    if let Err(block) = exchange.begin_attempt(&slot.runner) {
+    if let Err(block) = exchange.begin_attempt(&slot.runner).await {
         return Err(FailedAttempt::blocked(block));
     }
     let begun = || slot.response_begun(exchange.deadline);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -69,6 +69,9 @@
 /// must arrive before the caller disconnects.
 const FIRST_EVENT_RESERVE: Duration = Duration::from_millis(300);
 
+/// Time in which the announcement of a trial reaches the other entries.
+const ANNOUNCE_TIME: Duration = Duration::from_millis(25);
+
 /// A request and the data that all of its attempts share.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -113,6 +116,12 @@
     pub(crate) time: Duration,
 }
 
+impl From<(CrashSuspect, Duration)> for Block {
+    fn from((suspect, time): (CrashSuspect, Duration)) -> Self {
+        Self { suspect, time }
+    }
+}
+
 /// The attempts of a request so far.
 pub(crate) struct RequestAttempts {
     pub(crate) retry: RetryState,
@@ -259,8 +268,8 @@
         tracker.record_arrival(&exchange.suspects);
         tracker.blocked_by(now, &exchange.suspects)
     });
-    if let Some((suspect, time)) = blocked {
-        return exchange.refuse_blocked(Block { suspect, time });
+    if let Some(blocked) = blocked {
+        return exchange.refuse_blocked(blocked.into());
     }
     state.with_service(&exchange.service, |service_state| {
         service_state.budget.record_request(now)
@@ -417,7 +426,7 @@
             .state
             .crashes
             .update(|tracker, now| tracker.blocked_by(now, &self.suspects));
-        blocked.map(|(suspect, time)| Block { suspect, time })
+        blocked.map(Block::from)
     }
 
     /// Returns the names of what the request has that may crash runners, for the log.
@@ -441,15 +450,29 @@
     /// # Errors
     ///
     /// Returns what keeps it from being sent, if it crashes runners.
-    pub(crate) fn begin_attempt(&self, runner: &ListedRunner) -> Result<(), Block> {
+    pub(crate) async fn begin_attempt(&self, runner: &ListedRunner) -> Result<(), Block> {
         *lock(&self.last_runner) = Some(runner.clone());
+        let Some(trial) = self.begin_trial()? else {
+            return Ok(());
+        };
+        if trial.is_announced() {
+            tokio::time::sleep(ANNOUNCE_TIME).await;
+            self.state
+                .crashes
+                .update(|tracker, now| tracker.confirm(now, &self.suspects, trial))
+                .map_err(Block::from)?;
+        }
+        Ok(())
+    }
+
+    fn begin_trial(&self) -> Result<Option<CrashTrial>, Block> {
         let mut trial = lock(&self.trial);
         let begun = self
             .state
             .crashes
             .update(|tracker, now| tracker.begin(now, &self.suspects, *trial));
-        *trial = begun.map_err(|(suspect, time)| Block { suspect, time })?;
-        Ok(())
+        *trial = begun.map_err(Block::from)?;
+        Ok(*trial)
     }
 
     /// Records that a runner executed the request without crashing.
--- a/src/rank/wire.rs
+++ b/src/rank/wire.rs
@@ -13,6 +13,7 @@
 use wisteriawick_core::gateway::CrashSuspect;
 use wisteriawick_core::gateway::GroupRank;
 use wisteriawick_core::gateway::LoadReport;
+use wisteriawick_core::gateway::TrialNote;
 use wisteriawick_core::ids::Fingerprint;
 use wisteriawick_core::ids::PromptPart;
 use wisteriawick_core::maps::ExpertMap;
@@ -68,6 +69,14 @@
     /// How much longer it is blocked, in milliseconds.
     blocked_ms: u64,
     is_trusted: bool,
+    trial: Option<TrialNoteWire>,
+}
+
+/// A trial under way, as in [`TrialNote`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct TrialNoteWire {
+    id: u64,
+    remaining_ms: u64,
 }
 
 /// What may crash runners, as in [`CrashSuspect`].
@@ -106,6 +115,10 @@
             moments: note.moments,
             blocked_ms: note.blocked_for.as_millis() as u64,
             is_trusted: note.is_trusted,
+            trial: note.trial.map(|trial| TrialNoteWire {
+                id: trial.id,
+                remaining_ms: trial.remaining.as_millis() as u64,
+            }),
         }
     }
 }
@@ -119,6 +132,10 @@
             moments: wire.moments,
             blocked_for: Duration::from_millis(wire.blocked_ms),
             is_trusted: wire.is_trusted,
+            trial: wire.trial.map(|trial| TrialNote {
+                id: trial.id,
+                remaining: Duration::from_millis(trial.remaining_ms),
+            }),
         }
     }
 }
