--- a/crates/core/src/gateway/crash_tracker.rs
+++ b/crates/core/src/gateway/crash_tracker.rs
@@ -25,12 +25,14 @@
 use crate::collections::HashMap;
 use crate::gateway::CrashNote;
 use crate::gateway::CrashSuspect;
+use crate::gateway::CrashTrial;
 use crate::gateway::common_parts::CommonParts;
 use crate::gateway::crash_record::AnnouncedTrial;
 use crate::gateway::crash_record::CRASHES_BEFORE_BLOCK;
 use crate::gateway::crash_record::CrashRecord;
 use crate::gateway::crash_record::MAX_BLOCK_TIME;
 use crate::gateway::crash_record::TRIAL_TIME;
+use crate::gateway::crash_trial::trial_id;
 use crate::gateway::sound_parts::SoundParts;
 use crate::ids::RunnerId;
 
@@ -66,23 +68,6 @@
     notes: Vec<CrashNote>,
 }
 
-/// A request that is sent to find out whether it still crashes runners.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CrashTrial {
-    /// Crashes that counted against what the request has when the trial began.
-    crashes: usize,
-    /// The number under which it was announced, if it has to be the only one.
-    announced: Option<u64>,
-}
-
-impl CrashTrial {
-    /// Returns whether the request must wait for announcements of others, and then for
-    /// [`CrashTracker::confirm`].
-    pub fn is_announced(&self) -> bool {
-        self.announced.is_some()
-    }
-}
-
 /// Whether a request has all that explains the same crashes as one of its suspects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Rivals {
@@ -378,23 +363,26 @@
         let id = trial_id(suspects);
         let mut begun = None;
         for suspect in suspects {
-            let is_announced = self.rivals(*suspect, suspects) == Rivals::AllParts;
-            if let Some(record) = self.records.get_mut(suspect)
-                && record.needs_trial()
-            {
-                record.begin_trial(now);
-                let trial = begun.get_or_insert(CrashTrial {
-                    crashes,
-                    announced: None,
-                });
-                if is_announced {
-                    trial.announced = Some(id);
-                    let until = now + TRIAL_TIME;
-                    record.announce(now, AnnouncedTrial { id, until });
-                }
-                let note = record.to_note(now, *suspect);
-                self.notes.push(note);
+            let is_tried = self
+                .records
+                .get(suspect)
+                .is_some_and(CrashRecord::needs_trial);
+            let is_announced = is_tried && self.rivals(*suspect, suspects) == Rivals::AllParts;
+            let Some(record) = self.records.get_mut(suspect).filter(|_| is_tried) else {
+                continue;
+            };
+            record.begin_trial(now);
+            let trial = begun.get_or_insert(CrashTrial {
+                crashes,
+                announced: None,
+            });
+            if is_announced {
+                trial.announced = Some(id);
+                let until = now + TRIAL_TIME;
+                record.announce(now, AnnouncedTrial { id, until });
             }
+            let note = record.to_note(now, *suspect);
+            self.notes.push(note);
         }
         Ok(begun)
     }
@@ -502,12 +490,3 @@
         blocked.count()
     }
 }
-
-/// Returns the number of a request's trial: its content tells it from others.
-fn trial_id(suspects: &[CrashSuspect]) -> u64 {
-    let content = suspects.iter().find_map(|suspect| match suspect {
-        CrashSuspect::Request(content) => Some(content.0 as u64),
-        CrashSuspect::Part(_) => None,
-    });
-    content.unwrap_or(u64::MAX)
-}
