--- a/crates/core/src/gateway/crash_tracker.rs
+++ b/crates/core/src/gateway/crash_tracker.rs
@@ -76,7 +76,7 @@
     /// It has all parts, but another content than the request that crashed the runners.
     AllParts,
     /// It lacks a part.
-    Some,
+    SomeParts,
 }
 
 /// An attempt whose connection broke while the runner had the request.
@@ -244,7 +244,7 @@
                 Rivals::All => Some(until),
                 Rivals::AllParts => self.held_by_trial(now, *suspect, suspects),
                 // It may be sent, which tells the reasons apart.
-                Rivals::Some => None,
+                Rivals::SomeParts => None,
             };
             Some((*suspect, until?))
         });
@@ -290,7 +290,7 @@
                 continue;
             }
             match rival {
-                CrashSuspect::Part(_) => return Rivals::Some,
+                CrashSuspect::Part(_) => return Rivals::SomeParts,
                 CrashSuspect::Request(_) => has = Rivals::AllParts,
             }
         }
--- a/src/gateway/exchange/record.rs
+++ b/src/gateway/exchange/record.rs
@@ -16,7 +16,7 @@
 impl Exchange {
     /// Writes a log line about this request; routine lines are sampled.
     pub(crate) fn log(&self, category: EventCategory, kind: &str, fields: serde_json::Value) {
-        if category == EventCategory::Routine && !EventLog::is_sampled(&self.caller.id) {
+        if !self.is_logged(category) {
             return;
         }
         let mut line = json!({
@@ -36,11 +36,18 @@
         runner: &ListedRunner,
         fields: serde_json::Value,
     ) {
+        if !self.is_logged(category) {
+            return;
+        }
         let mut line = self.state.positions.log_fields(runner);
         extend(&mut line, fields);
         self.log(category, kind, line);
     }
 
+    fn is_logged(&self, category: EventCategory) -> bool {
+        category != EventCategory::Routine || EventLog::is_sampled(&self.caller.id)
+    }
+
     /// Logs that the request is cut off because the process ends.
     pub(crate) fn log_cut_off(&self, fields: serde_json::Value) {
         let mut line = json!({
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -185,14 +185,9 @@
     let mut runner_registry = lock(&state.runner_registry);
     match change {
         Change::Written(runner) => {
-            let position = state.positions.get(runner.address);
-            let fields = json!({
-                "runner": runner.id.as_str(),
-                "state": format!("{:?}", runner.state),
-                "address": runner.address.to_string(),
-                "group": position.as_ref().map(|position| &*position.group),
-                "rank": position.as_ref().map(|position| position.rank),
-            });
+            let mut fields = state.positions.log_fields(&runner);
+            fields["state"] = format!("{:?}", runner.state).into();
+            fields["address"] = runner.address.to_string().into();
             let id = runner.id.clone();
             let has_restarted = runner_registry.is_new_incarnation(&runner);
             if runner_registry.update(runner) {
