--- a/crates/soak/src/crashes.rs
+++ b/crates/soak/src/crashes.rs
@@ -315,7 +315,8 @@
                     entry.start()?;
                 }
                 _ => {
-                    record("told to reload");
+                    self.report
+                        .record_fault(&format!("{} told to reload", entry.name));
                     entry.signal(Signal::HUP);
                 }
             }
