--- a/crates/core/src/gateway/crash_note.rs
+++ b/crates/core/src/gateway/crash_note.rs
@@ -33,7 +33,7 @@
 /// A request that is sent to find out which of several suspects crashes runners.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TrialNote {
-    /// Tells it from other requests; of two at the same time the lower one goes on.
+    /// Tells it from other requests; of two at the same time, the lower one is confirmed.
     pub id: u64,
     /// How much longer it holds back others.
     pub remaining: Duration,
--- a/crates/faults/src/restored_store.rs
+++ b/crates/faults/src/restored_store.rs
@@ -279,21 +279,16 @@
         let late = entry.late_answer.take_if(|answer| answer.arrives <= step);
         let answer = entry.answer.take_if(|answer| answer.arrives <= step);
         if let Some(answer) = late {
-            let known = entry.position.map_or(Era(0), |position| position.era);
-            // The client refuses answers of an older era.
-            if answer.era >= known || self.mutation == Some(RestoreMutation::BelievesOldAnswers) {
-                self.apply_late(step, index, answer);
-            }
+            self.apply_late(step, index, answer);
         }
         if let Some(answer) = answer {
             self.apply(step, index, answer);
         }
     }
 
-    /// Applies an answer to a call that was given up; it moves no position.
+    /// Receives an answer to a call that was given up. An entry has closed the connection
+    /// of such a call, so only one with the defect hands the content on.
     fn apply_late(&mut self, step: u64, index: usize, answer: Answer) {
-        // An entry has closed the connection of such a call. Only a client without the
-        // check of eras would hand its content on.
         if self.mutation != Some(RestoreMutation::BelievesOldAnswers) {
             return;
         }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -31,9 +31,8 @@
     (report, dir)
 }
 
-/// Runs the soak test and asserts that it finds no violation.
-async fn run_soak(soak: Soak) {
-    let (report, dir) = run(soak).await;
+/// Asserts that a run found no violation.
+fn assert_passed(report: &SoakReport, dir: &Path) {
     let faults = report.faults().join("\n");
     let violations = report.violations().join("\n");
     let dir = dir.display();
@@ -43,6 +42,21 @@
     );
 }
 
+/// Asserts that a run found a violation whose text contains this one.
+fn assert_found(report: &SoakReport, expected: &str) {
+    let violations = report.violations();
+    assert!(
+        violations.iter().any(|text| text.contains(expected)),
+        "{expected:?} was not found: {violations:?}"
+    );
+}
+
+/// Runs the soak test and asserts that it finds no violation.
+async fn run_soak(soak: Soak) {
+    let (report, dir) = run(soak).await;
+    assert_passed(&report, &dir);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn invariants_hold_with_consecutive_faults() {
     run_soak(Soak::small(2)).await;
@@ -121,13 +135,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn what_crashes_runners_is_stopped_while_entries_and_agents_fail() {
     let (report, dir) = run_crashes(CrashSoak::small(1)).await;
-    let faults = report.faults().join("\n");
-    let violations = report.violations().join("\n");
-    let dir = dir.display();
-    assert!(
-        report.passed(),
-        "{violations}\nfaults:\n{faults}\nlogs: {dir}"
-    );
+    assert_passed(&report, &dir);
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -137,13 +145,7 @@
         ..CrashSoak::small(2)
     };
     let (report, _) = run_crashes(soak).await;
-    let violations = report.violations();
-    assert!(
-        violations
-            .iter()
-            .any(|text| text.contains("runners crashed")),
-        "{violations:?}"
-    );
+    assert_found(&report, "runners crashed");
 }
 
 async fn run_group(soak: GroupSoak) -> (SoakReport, PathBuf) {
@@ -161,13 +163,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn group_keeps_one_map_while_its_agents_fail() {
     let (report, dir) = run_group(GroupSoak::small(1)).await;
-    let faults = report.faults().join("\n");
-    let violations = report.violations().join("\n");
-    let dir = dir.display();
-    assert!(
-        report.passed(),
-        "{violations}\nfaults:\n{faults}\nlogs: {dir}"
-    );
+    assert_passed(&report, &dir);
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
