--- a/crates/core/src/gateway/crash_tracker.rs
+++ b/crates/core/src/gateway/crash_tracker.rs
@@ -374,10 +374,10 @@
             record.begin_trial(now);
             let trial = begun.get_or_insert(CrashTrial {
                 crashes,
-                announced: None,
+                is_announced: false,
             });
             if is_announced {
-                trial.announced = Some(id);
+                trial.is_announced = true;
                 let until = now + TRIAL_TIME;
                 record.announce(now, AnnouncedTrial { id, until });
             }
@@ -400,16 +400,16 @@
         suspects: &[CrashSuspect],
         trial: CrashTrial,
     ) -> Result<(), (CrashSuspect, Duration)> {
-        let Some(id) = trial.announced else {
+        if !trial.is_announced {
             return Ok(());
-        };
+        }
         let has_crashed = self.crash_count(suspects) != trial.crashes;
         if has_crashed && let Some(blocked) = self.blocked_by(now, suspects) {
             return Err(blocked);
         }
         let held = suspects.iter().find_map(|suspect| {
-            let until = self.records.get(suspect)?.held_until(now, id)?;
-            Some((*suspect, until.min(now + MAX_TRIAL_WAIT) - now))
+            let until = self.held_by_trial(now, *suspect, suspects)?;
+            Some((*suspect, until - now))
         });
         held.map_or(Ok(()), Err)
     }
--- a/crates/core/src/gateway/crash_trial.rs
+++ b/crates/core/src/gateway/crash_trial.rs
@@ -8,15 +8,15 @@
 pub struct CrashTrial {
     /// Crashes that counted against what the request has when the trial began.
     pub(crate) crashes: usize,
-    /// The number under which it was announced, if it has to be the only one.
-    pub(crate) announced: Option<u64>,
+    /// Whether all processes were told of it, since it has to be the only one.
+    pub(crate) is_announced: bool,
 }
 
 impl CrashTrial {
     /// Returns whether the request must wait for announcements of others, and then for
     /// [`CrashTracker::confirm`].
     pub fn is_announced(&self) -> bool {
-        self.announced.is_some()
+        self.is_announced
     }
 }
 
