The simulated store counts its revisions from its history

The revision was kept beside the history whose length it is, and a comparison of records stood twice; a condition on a restore was implied by the next one.

--- a/crates/faults/src/restored_store.rs
+++ b/crates/faults/src/restored_store.rs
@@ -76,8 +76,8 @@
     IgnoresEra,
     /// Entries take the declaration that the store lists, whatever they served before.
     TakesAnyDeclaration,
-    /// Entries apply answers of an older era.
-    BelievesOldAnswers,
+    /// Entries apply answers to calls that they gave up.
+    BelievesLateAnswers,
 }
 
 /// The number of violations of each promise that a run found.
@@ -241,13 +241,8 @@
             if !runner.is_alive {
                 continue;
             }
-            let stored = self.store.runner(&runner.listed.id);
-            let is_current = stored.is_some_and(|stored| {
-                stored.state == runner.listed.state
-                    && stored.started_unix_ms == runner.listed.started_unix_ms
-            });
-            let writes_change = !is_current && stored.is_none_or(|_| step > self.store.restored_at);
-            if beats || writes_change && step >= self.store.restored_at + HEARTBEAT_INTERVAL {
+            let may_write = step >= self.store.restored_at + HEARTBEAT_INTERVAL;
+            if beats || may_write && !self.store.holds(&runner.listed) {
                 runner.listed.sequence = runner.listed.sequence.map(|sequence| sequence + 1);
                 self.store.write_runner(step, &runner.listed);
             }
@@ -289,7 +284,7 @@
     /// Receives an answer to a call that was given up. An entry has closed the connection
     /// of such a call, so only one with the defect hands the content on.
     fn apply_late(&mut self, step: u64, index: usize, answer: Answer) {
-        if self.mutation != Some(RestoreMutation::BelievesOldAnswers) {
+        if self.mutation != Some(RestoreMutation::BelievesLateAnswers) {
             return;
         }
         let position = self.entries[index].position;
@@ -314,7 +309,7 @@
                 if let Some(version) = store.declaration {
                     entry.take_declaration(era, version, self.mutation);
                 }
-                let revision = store.revision;
+                let revision = store.revision();
                 entry.position = Some(Position { era, revision });
             }
             // Its revision means nothing in the new era, so all is listed anew.
@@ -352,7 +347,7 @@
         let content = match entry.position {
             None => Content::Listing(Box::new(self.store.clone())),
             Some(position) => match self.store.changes_since(position.revision) {
-                Some(changes) => Content::Changes(changes, self.store.revision),
+                Some(changes) => Content::Changes(changes, self.store.revision()),
                 None => Content::Gone,
             },
         };
--- a/crates/faults/src/restored_store/fake_store.rs
+++ b/crates/faults/src/restored_store/fake_store.rs
@@ -19,7 +19,6 @@
 #[derive(Clone, Default)]
 pub(super) struct FakeStore {
     pub(super) era: Era,
-    pub(super) revision: u64,
     /// Version of the declaration.
     pub(super) declaration: Option<u64>,
     runners: BTreeMap<RunnerId, StoredRunner>,
@@ -41,8 +40,17 @@
         self.runners.values().map(|stored| &stored.listed)
     }
 
-    pub(super) fn runner(&self, id: &RunnerId) -> Option<&ListedRunner> {
-        self.runners.get(id).map(|stored| &stored.listed)
+    /// Returns the number of the last write.
+    pub(super) fn revision(&self) -> u64 {
+        self.history.len() as u64
+    }
+
+    /// Returns whether a runner's record is stored, apart from its heartbeats.
+    pub(super) fn holds(&self, runner: &ListedRunner) -> bool {
+        self.runners.get(&runner.id).is_some_and(|stored| {
+            stored.listed.state == runner.state
+                && stored.listed.started_unix_ms == runner.started_unix_ms
+        })
     }
 
     /// Returns the changes after a revision; `None` if the store does not have it.
@@ -58,10 +66,7 @@
     /// Writes a runner's record or, if nothing else changed, only its heartbeat, which no
     /// watch reports.
     pub(super) fn write_runner(&mut self, step: u64, runner: &ListedRunner) {
-        let known = self.runner(&runner.id);
-        let is_same = known.is_some_and(|known| {
-            known.state == runner.state && known.started_unix_ms == runner.started_unix_ms
-        });
+        let is_same = self.holds(runner);
         let stored = StoredRunner {
             listed: runner.clone(),
             beat_at: step,
@@ -101,7 +106,6 @@
     }
 
     fn record(&mut self, change: Change) {
-        self.revision += 1;
         self.history.push(change);
     }
 }
--- a/crates/faults/tests/restored_store.rs
+++ b/crates/faults/tests/restored_store.rs
@@ -73,7 +73,7 @@
 }
 
 #[test]
-fn an_entry_that_believes_answers_of_an_older_era_is_found() {
-    let report = violations(RestoreMutation::BelievesOldAnswers);
+fn an_entry_that_believes_answers_to_calls_it_gave_up_is_found() {
+    let report = violations(RestoreMutation::BelievesLateAnswers);
     assert!(report.leaving_runners_used > 0, "{report:?}");
 }
