--- a/crates/soak/src/crashes.rs
+++ b/crates/soak/src/crashes.rs
@@ -22,7 +22,6 @@
 use wisteriawick_platform_standin::Runner;
 use wisteriawick_platform_standin::Store;
 use wisteriawick_platform_standin::caller_request;
-use wisteriawick_platform_standin::configuration;
 use wisteriawick_platform_standin::rank_addresses;
 use wisteriawick_platform_standin::send;
 use wisteriawick_platform_standin::with_prompt_parts;
@@ -105,9 +104,7 @@
         let engines = rank_addresses(2, own_address().port());
         let group = EngineGroup::start(&engines, None, cx.clone()).await?;
         let store = Store::start(cx.clone()).await?;
-        let mut config = configuration(1, REQUEST_TIMEOUT.as_millis() as u64);
-        config["services"][0] = group.service();
-        store.write_configuration(config);
+        store.write_configuration(group.configuration(REQUEST_TIMEOUT.as_millis() as u64));
         let mut runners = Vec::new();
         for n in 0..RUNNERS {
             let address = (links.ip(), 0).into();
--- a/crates/soak/src/groups.rs
+++ b/crates/soak/src/groups.rs
@@ -22,7 +22,6 @@
 use wisteriawick_platform_standin::EngineDefect;
 use wisteriawick_platform_standin::EngineGroup;
 use wisteriawick_platform_standin::Store;
-use wisteriawick_platform_standin::configuration;
 use wisteriawick_platform_standin::rank_addresses;
 use wisteriawick_standins::address::own_address;
 
@@ -114,9 +113,7 @@
         let engines = rank_addresses(RANKS, own_address().port());
         let group = EngineGroup::start(&engines, self.defect, cx.clone()).await?;
         let store = Store::start(cx).await?;
-        let mut config = configuration(1, 2_000);
-        config["services"][0] = group.service();
-        store.write_configuration(config);
+        store.write_configuration(group.configuration(2_000));
         for (name, spec) in group.servers() {
             store.write("servers", &name, spec);
         }
