--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -6,7 +6,9 @@
 //! they are sent. Requests that cannot start in time are rejected at once.
 
 mod health;
+mod limiter;
 mod limits;
+mod rate_limits;
 mod request;
 mod runner;
 
@@ -21,14 +23,18 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::gateway::EntryShare;
 use crate::gateway::LoadReport;
 use crate::gateway::pool::health::Health;
+use crate::gateway::pool::limiter::Limiter;
 use crate::gateway::pool::runner::Runner;
+use crate::gateway::smoothed_rate::SmoothedRate;
 use crate::hosting::ListedRunner;
 use crate::ids::PlaceId;
 use crate::ids::RunnerId;
 
 pub use limits::PoolLimits;
+pub use rate_limits::LimitChange;
 pub use request::Admission;
 pub use request::DequeuedRequest;
 pub use request::QueuedRequest;
@@ -45,8 +51,6 @@
 /// Bounds of the retry time that a rejection states.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
-/// Time constant of the smoothed completion rate of requests.
-const COMPLETION_RATE_WINDOW: Duration = Duration::from_secs(2);
 /// Age up to which a report shows that its group is making passes. A busy group
 /// reports with every pass, and a slow pass takes a quarter of a second.
 const MAX_PROGRESS_AGE: Duration = Duration::from_millis(500);
@@ -112,9 +116,12 @@
     refusing_groups: BTreeMap<Option<Arc<str>>, RefusingGroup>,
     /// Groups of which nothing was heard since several of their runners fell silent.
     standing_groups: BTreeSet<Arc<str>>,
-    /// Completed requests per second, smoothed, as of `completion_rate_at`.
-    completion_rate: f64,
-    completion_rate_at: Instant,
+    /// Completed requests per second.
+    completion_rate: SmoothedRate,
+    /// Requests per second that this entry gets.
+    demand: SmoothedRate,
+    /// This entry's share of the rate limits of runners.
+    share: EntryShare,
     rng: SmallRng,
 }
 
@@ -129,8 +136,9 @@
             queue: Vec::new(),
             refusing_groups: BTreeMap::new(),
             standing_groups: BTreeSet::new(),
-            completion_rate: 0.0,
-            completion_rate_at: now,
+            completion_rate: SmoothedRate::new(now),
+            demand: SmoothedRate::new(now),
+            share: EntryShare::equal(1),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -155,6 +163,7 @@
                     if has_restarted {
                         known.health = Health::new(now);
                         known.clear_report();
+                        known.limiter = Limiter::new(now);
                         known.record_sign_of_life(now);
                     }
                     known.listed = listed;
@@ -166,8 +175,7 @@
                 }
             }
         }
-        self.runners
-            .retain(|_, runner| !runner.is_unlisted || runner.in_flight() > 0);
+        self.runners.retain(|_, runner| !runner.is_forgettable(now));
     }
 
     /// Stores the load report of the runner at an address.
@@ -203,6 +211,7 @@
 
     /// Assigns a request to a runner, queues it or rejects it.
     pub fn admit(&mut self, now: Instant, request: QueuedRequest) -> Admission {
+        self.demand.record(now);
         if now >= request.deadline {
             return self.reject();
         }
@@ -230,7 +239,7 @@
         outcome: RunnerOutcome,
     ) -> Vec<DequeuedRequest> {
         if outcome == RunnerOutcome::Served {
-            self.record_completion(now);
+            self.completion_rate.record(now);
         }
         if let Some(runner) = self.runners.get_mut(id) {
             runner.request_ended(now);
@@ -248,7 +257,7 @@
                 RunnerOutcome::ErrorResponse => runner.health.record_error_response(now),
                 RunnerOutcome::Replaced => runner.health.record_replaced(now),
             }
-            if runner.is_unlisted && runner.in_flight() == 0 {
+            if runner.is_forgettable(now) {
                 self.runners.remove(id);
             }
         }
@@ -427,6 +436,7 @@
             && !runner.group().is_some_and(is_group_silent)
             && runner.has_room(now, &self.limits)
             && !excluded.contains(&runner.listed.id)
+            && runner.limiter.allows(now, &runner.listed.id, &self.share)
             && self.group_may_be_tried(now, runner)
     }
 
@@ -455,15 +465,27 @@
         self.rng = rng;
         let best = best?;
         let runner = self.runners.get_mut(&best)?;
+        let is_counted = runner.limiter.state.limit().is_some();
+        runner.limiter.take(now, &best, &self.share);
         runner.request_started(now);
         if let Some(refusing) = self.refusing_groups.get_mut(&runner.group().cloned()) {
             refusing.probes += 1;
         }
         Some(Selection {
             runner: runner.listed.clone(),
+            is_counted,
         })
     }
 
+    /// Returns whether a request may be handed to the runner that was selected for it. Call
+    /// this right before sending: the runner may have named a limit since.
+    pub fn hand_out(&mut self, now: Instant, selection: &Selection) -> bool {
+        let Some(runner) = self.runners.get_mut(&selection.runner.id) else {
+            return true;
+        };
+        selection.is_counted || runner.limiter.take(now, &runner.listed.id, &self.share)
+    }
+
     /// Returns the load of a runner in requests per slot, plus penalties.
     ///
     /// The speed of the runner's group is not included: all entries learn it at
@@ -504,25 +526,15 @@
 
     fn expected_wait(&self) -> Duration {
         let ahead = self.queue.len() as f64;
-        if self.completion_rate <= 0.0 || ahead == 0.0 {
+        let completion_rate = self.completion_rate.at_last_event();
+        if completion_rate <= 0.0 || ahead == 0.0 {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64(
-            (ahead / self.completion_rate).min(MAX_RETRY_AFTER.as_secs_f64() * 10.0),
-        )
+        Duration::from_secs_f64((ahead / completion_rate).min(MAX_RETRY_AFTER.as_secs_f64() * 10.0))
     }
 
     fn reject(&self) -> Admission {
         let retry_after = self.expected_wait().clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         Admission::Reject { retry_after }
     }
-
-    fn record_completion(&mut self, now: Instant) {
-        let elapsed = now
-            .saturating_duration_since(self.completion_rate_at)
-            .as_secs_f64();
-        self.completion_rate_at = now;
-        let window = COMPLETION_RATE_WINDOW.as_secs_f64();
-        self.completion_rate = self.completion_rate * (-elapsed / window).exp() + 1.0 / window;
-    }
 }
--- a/crates/core/src/gateway/pool/request.rs
+++ b/crates/core/src/gateway/pool/request.rs
@@ -41,6 +41,8 @@
 pub struct Selection {
     /// The selected runner, as the store lists it.
     pub runner: ListedRunner,
+    /// Whether the request counts towards the runner's rate limit already.
+    pub is_counted: bool,
 }
 
 /// The pool's decision about a request.
--- a/crates/core/src/gateway/pool/runner.rs
+++ b/crates/core/src/gateway/pool/runner.rs
@@ -8,6 +8,7 @@
 use crate::gateway::LoadReport;
 use crate::gateway::PoolLimits;
 use crate::gateway::pool::health::Health;
+use crate::gateway::pool::limiter::Limiter;
 use crate::hosting::ListedRunner;
 use crate::hosting::ListedState;
 
@@ -30,11 +31,12 @@
     /// Recent changes of `in_flight`, which load reports do not include yet.
     recent_changes: VecDeque<(Instant, i32)>,
     pub(super) health: Health,
+    pub(super) limiter: Limiter,
     /// Since when the runner has had requests without a sign of life.
     silent_since: Option<Instant>,
     last_report: Option<ReceivedReport>,
     /// Whether the runner is no longer listed. It is kept until its requests have
-    /// ended.
+    /// ended, and while what it said of itself may hold, in case it is listed again.
     pub(super) is_unlisted: bool,
 }
 
@@ -53,6 +55,7 @@
             in_flight: 0,
             recent_changes: VecDeque::new(),
             health: Health::new(now),
+            limiter: Limiter::new(now),
             silent_since: None,
             last_report: None,
             is_unlisted: false,
@@ -64,6 +67,11 @@
         self.in_flight
     }
 
+    /// Returns whether nothing of the runner needs to be kept.
+    pub(super) fn is_forgettable(&self, now: Instant) -> bool {
+        self.is_unlisted && self.in_flight == 0 && !self.limiter.is_in_force(now)
+    }
+
     /// Records that this entry sends a request to the runner.
     pub(super) fn request_started(&mut self, now: Instant) {
         self.in_flight += 1;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -88,6 +88,8 @@
     pub(crate) connection_broke: bool,
     /// What keeps the request from being sent to any runner; `None` if it may be.
     pub(crate) block: Option<Block>,
+    /// Whether the runner takes no request now, as became known after it was selected.
+    pub(crate) is_withheld: bool,
 }
 
 /// Why a stream cannot be forwarded any further.
@@ -161,6 +163,15 @@
             error_response: None,
             connection_broke: false,
             block: None,
+            is_withheld: false,
+        }
+    }
+
+    /// The request was not sent because the runner takes none now.
+    fn withheld() -> Self {
+        Self {
+            is_withheld: true,
+            ..Self::new(AttemptOutcome::NotSent, "the runner takes no request now")
         }
     }
 
@@ -188,7 +199,7 @@
     mut slot: RunnerSlot,
     last_event: Option<u64>,
 ) -> AttemptResult {
-    let runner = slot.runner.id.clone();
+    let runner = slot.runner().id.clone();
     let timeout = attempt_timeout(exchange);
     let opening = open_response(exchange, &mut slot, last_event);
     let result = match timeout {
@@ -296,9 +307,13 @@
 ) -> Result<ResponseStart, FailedAttempt> {
     let mut upstream = connect(exchange, slot).await?;
     let req = build_request(exchange, slot, last_event)?;
-    if let Err(block) = exchange.begin_attempt(&slot.runner).await {
+    if let Err(block) = exchange.begin_attempt(slot.runner()).await {
         return Err(FailedAttempt::blocked(block));
     }
+    if !slot.may_hand_out() {
+        return Err(FailedAttempt::withheld());
+    }
+    let sent_at = exchange.state.now();
     let begun = || slot.response_begun(exchange.deadline);
     let res = match upstream.send(req, begun).await {
         Ok(res) => res,
@@ -313,6 +328,9 @@
     slot.response_begun(exchange.deadline);
     let (parts, body) = res.into_parts();
     let head = ResponseHead::new(parts.status, &parts.headers);
+    if !head.is_misdirected {
+        slot.observe(sent_at, &head);
+    }
     if head.is_not_executed {
         let outcome = match head.is_misdirected {
             true => RunnerOutcome::Replaced,
@@ -340,7 +358,7 @@
         let stream = start_stream(slot, upstream, head, headers, body, last_event).await?;
         exchange
             .state
-            .response_began(&exchange.service, &slot.runner.id);
+            .response_began(&exchange.service, &slot.runner().id);
         Ok(ResponseStart::Stream(Box::new(stream)))
     } else {
         buffer_response(exchange, slot, upstream, head, headers, body)
@@ -351,7 +369,7 @@
 
 async fn connect(exchange: &Exchange, slot: &mut RunnerSlot) -> Result<Upstream, FailedAttempt> {
     let state = &exchange.state;
-    let address = slot.runner.address;
+    let address = slot.runner().address;
     // A request that must be executed at most once gets a new connection, which can
     // carry no late response to another request and is not closed as idle while the
     // request is sent.
@@ -363,7 +381,7 @@
     Upstream::connect(address).await.map_err(|e| {
         slot.set_outcome(RunnerOutcome::Failed);
         if let ConnectError::Refused(_) = e {
-            state.runner_lost(&slot.runner.id, "refuses connections");
+            state.runner_lost(&slot.runner().id, "refuses connections");
         }
         FailedAttempt::new(AttemptOutcome::NotSent, e.into_detail())
     })
@@ -380,7 +398,7 @@
     let tenancy = exchange.route_match.tenancy.as_ref();
     let headers = runner_request_headers(
         &exchange.head.headers,
-        &slot.runner.id,
+        &slot.runner().id,
         tenancy.map(|tenancy| &tenancy.workspace),
         remaining,
         last_event,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -297,7 +297,7 @@
             Ok(slot) => slot,
             Err(no_slot) => return exchange.respond_without_slot(attempts, no_slot),
         };
-        let runner = slot.runner.clone();
+        let runner = slot.runner().clone();
         attempts.is_in_flight = true;
         let last_event = exchange.caller.last_event_id;
         let result = attempt::send(exchange, attempts, slot, last_event).await;
@@ -336,7 +336,9 @@
 ) -> NextStep {
     let state = &exchange.state;
     let now = state.now();
-    attempts.excluded.push(runner.id.clone());
+    if !failed.is_withheld {
+        attempts.excluded.push(runner.id.clone());
+    }
     let spend = || {
         state
             .with_service(&exchange.service, |service_state| {
--- a/src/gateway/load_reports.rs
+++ b/src/gateway/load_reports.rs
@@ -11,10 +11,14 @@
 
 use serde_json::json;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::collections::HashMap;
 use wisteriawick_core::gateway::GroupReport;
+use wisteriawick_core::gateway::LimitNote;
 use wisteriawick_core::gateway::LoadReport;
+use wisteriawick_core::gateway::ServiceShare;
 use wisteriawick_core::ids::ServiceId;
 
 use crate::eventlog::EventCategory;
@@ -22,7 +26,9 @@
 use crate::rank::link::Link;
 use crate::rank::link::from_wire;
 use crate::rank::link::send_notes;
+use crate::rank::wire::EntryLimitsWire;
 use crate::rank::wire::EntryMessage;
+use crate::rank::wire::GroupLimitsWire;
 use crate::rank::wire::GroupLoadWire;
 use crate::rank::wire::GroupMessage;
 use crate::rank::wire::Hello;
@@ -36,6 +42,8 @@
 const FOLLOWER_RETRY_DELAY: Duration = Duration::from_secs(5);
 /// Delay before reconnecting to an agent that did not respond or whose link broke.
 const REDIAL_DELAY: Duration = Duration::from_millis(400);
+/// Interval at which an entry reports its demand while a runner has a rate limit.
+const LIMIT_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Keeps links to the leaders of all groups.
 pub(crate) async fn watch_loads(state: Arc<GatewayState>, shutdown: CancellationToken) {
@@ -125,7 +133,14 @@
 ) -> std::io::Result<Infallible> {
     // Announces that this entry understands notes.
     link.send(&EntryMessage::Crashes(Vec::new())).await?;
+    // An empty report, to be told the limits that others know.
+    link.send(&EntryMessage::Limits(EntryLimitsWire {
+        entry: state.entry_id.0,
+        ..EntryLimitsWire::default()
+    }))
+    .await?;
     let mut notes = state.crashes.subscribe();
+    let mut limits = LimitReports::new(state);
     loop {
         let message = tokio::select! {
             message = link.recv::<GroupMessage>() => message?,
@@ -133,16 +148,78 @@
                 send_notes(link, &news, EntryMessage::Crashes).await?;
                 continue;
             }
+            report = limits.next(state, group) => {
+                link.send(&EntryMessage::Limits(report)).await?;
+                continue;
+            }
         };
         match message {
             GroupMessage::Load(load) => state.update_loads(service, &reports(group, &load)),
             GroupMessage::Entries(count) => state.update_entry_count(count),
             GroupMessage::Crashes(notes) => state.learn_crashes(&from_wire(&notes)),
+            GroupMessage::Limits(limits) => learn_limits(state, group, limits),
             GroupMessage::Position(_) => {}
         }
     }
 }
 
+/// Takes in what a leader tells of rate limits.
+fn learn_limits(state: &GatewayState, group: &str, limits: GroupLimitsWire) {
+    let shares = limits.shares.into_iter().map(ServiceShare::from).collect();
+    let mut notes = Vec::with_capacity(limits.notes.len());
+    for note in limits.notes {
+        match LimitNote::try_from(note) {
+            Ok(note) => notes.push(note),
+            Err(e) => {
+                let fields = json!({"group": group, "problem": e.to_string()});
+                state.log.line(EventCategory::Failure, "unreadable", fields);
+            }
+        }
+    }
+    state.learn_limits(group, shares, &notes);
+}
+
+/// When to report demand and rate limits to a leader, and what.
+struct LimitReports {
+    changes: watch::Receiver<u64>,
+    /// When the next report is due without a change.
+    due: Instant,
+    /// Whether the last report said anything.
+    was_empty: bool,
+}
+
+impl LimitReports {
+    fn new(state: &GatewayState) -> Self {
+        Self {
+            changes: state.limits_changed.subscribe(),
+            due: Instant::now(),
+            was_empty: true,
+        }
+    }
+
+    /// Waits until a report is due. While no runner has a limit there are none.
+    async fn next(&mut self, state: &GatewayState, group: &str) -> EntryLimitsWire {
+        loop {
+            tokio::select! {
+                () = tokio::time::sleep_until(self.due) => {}
+                // The state that sends is borrowed here, so the channel stays open.
+                _ = self.changes.changed() => {}
+            }
+            self.due = Instant::now() + LIMIT_REPORT_INTERVAL;
+            let report = state.limit_report(group);
+            let is_empty = report.demands.is_empty() && report.notes.is_empty();
+            if !is_empty || !self.was_empty {
+                self.was_empty = is_empty;
+                return EntryLimitsWire {
+                    entry: state.entry_id.0,
+                    demands: report.demands.iter().map(Into::into).collect(),
+                    notes: report.notes.iter().map(Into::into).collect(),
+                };
+            }
+        }
+    }
+}
+
 async fn open_link(agent: SocketAddr) -> std::io::Result<(Link, GroupMessage)> {
     let mut link = Link::to_leader(TcpStream::connect(agent).await?)?;
     link.send(&Hello::Entry).await?;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -70,7 +70,7 @@
     retry: RetryState,
     stream: OpenStream,
 ) -> Response<Body> {
-    let runner = &stream.source.slot.runner;
+    let runner = stream.source.slot.runner();
     exchange.log_at(EventCategory::Routine, "stream_began", runner, json!({}));
     exchange.record_latency();
     let route = &exchange.route_match.route;
@@ -128,7 +128,7 @@
         let slot = self.source.as_ref().map(|source| &source.slot);
         let placed = slot.map(|slot| slot.acquired_at - self.exchange.arrived);
         self.exchange.log_cut_off(json!({
-            "runner": slot.map(|slot| slot.runner.id.as_str()),
+            "runner": slot.map(|slot| slot.runner().id.as_str()),
             "placed_ms": placed.unwrap_or_default().as_millis() as u64,
             "first_ms": self.latency.time_to_first_event().unwrap_or_default().as_millis() as u64,
             "events": self.event_count,
@@ -176,7 +176,7 @@
         self.event_count += 1;
         let exchange = &self.exchange;
         if let Some(source) = &self.source {
-            let runner = &source.slot.runner.id;
+            let runner = &source.slot.runner().id;
             exchange
                 .state
                 .record_sign_of_life(&exchange.service, runner);
@@ -198,7 +198,7 @@
         });
         if let Some(slot) = slot {
             self.exchange
-                .log_at(EventCategory::Failure, "stream_late", &slot.runner, fields);
+                .log_at(EventCategory::Failure, "stream_late", slot.runner(), fields);
         }
     }
 
@@ -229,7 +229,7 @@
             "first_ms": first.as_millis() as u64,
             "pause_ms": self.latency.longest_gap().as_millis() as u64,
         });
-        let runner = &source.slot.runner;
+        let runner = source.slot.runner();
         self.exchange
             .log_at(EventCategory::Routine, "stream_ended", runner, fields);
         self.exchange.count_outcome("answered");
@@ -247,7 +247,7 @@
     ) -> Result<(), BrokenStream> {
         source.slot.set_outcome(RunnerOutcome::Failed);
         let last = source.sequence.last();
-        let mut runner = source.slot.runner.clone();
+        let mut runner = source.slot.runner().clone();
         drop(source);
         let mut failed = FailedAttempt::from(error);
         loop {
@@ -262,7 +262,7 @@
                     });
                 }
             };
-            runner = slot.runner.clone();
+            runner = slot.runner().clone();
             match attempt::send(&self.exchange, &self.attempts, slot, last).await {
                 AttemptResult::Stream(stream) => {
                     let fields = json!({"after": last});
@@ -323,7 +323,7 @@
     if let Some(first) = source.first.take() {
         return Ok(Some(first));
     }
-    let runner = source.slot.runner.id.clone();
+    let runner = source.slot.runner().id.clone();
     let next = attempt::next_event(&mut source.body, &mut source.splitter, &mut source.sequence);
     attempt::wait_unless_movable(exchange, attempts, &runner, EVENT_TIMEOUT, next)
         .await
--- a/src/gateway/runner_slot.rs
+++ b/src/gateway/runner_slot.rs
@@ -4,8 +4,10 @@
 use std::time::Instant;
 
 use wisteriawick_core::gateway::RunnerOutcome;
+use wisteriawick_core::gateway::Selection;
 use wisteriawick_core::hosting::ListedRunner;
 use wisteriawick_core::ids::ServiceId;
+use wisteriawick_platform::ResponseHead;
 
 use crate::gateway::state::GatewayState;
 
@@ -18,7 +20,7 @@
 pub(crate) struct RunnerSlot {
     state: Arc<GatewayState>,
     service: ServiceId,
-    pub(crate) runner: ListedRunner,
+    selection: Selection,
     outcome: RunnerOutcome,
     /// When a response that has begun must have ended.
     response_due: Option<Instant>,
@@ -27,17 +29,34 @@
 }
 
 impl RunnerSlot {
-    pub(crate) fn new(state: Arc<GatewayState>, service: ServiceId, runner: ListedRunner) -> Self {
+    pub(crate) fn new(state: Arc<GatewayState>, service: ServiceId, selection: Selection) -> Self {
         Self {
             acquired_at: state.now(),
             state,
             service,
-            runner,
+            selection,
             outcome: RunnerOutcome::Abandoned,
             response_due: None,
         }
     }
 
+    /// Returns the runner.
+    pub(crate) fn runner(&self) -> &ListedRunner {
+        &self.selection.runner
+    }
+
+    /// Returns whether the request may be handed to the runner now. Call this right before
+    /// sending.
+    pub(crate) fn may_hand_out(&self) -> bool {
+        self.state.hand_out(&self.service, &self.selection)
+    }
+
+    /// Takes in what a response to a request that was sent at `sent_at` says of the runner.
+    pub(crate) fn observe(&self, sent_at: Instant, head: &ResponseHead) {
+        self.state
+            .observe_limit(&self.service, self.runner(), sent_at, head.limit);
+    }
+
     /// Sets the outcome that is reported when the slot is dropped.
     pub(crate) fn set_outcome(&mut self, outcome: RunnerOutcome) {
         self.outcome = outcome;
@@ -57,9 +76,9 @@
             outcome => outcome,
         };
         if outcome == RunnerOutcome::Failed {
-            self.state.upstreams.close_address(self.runner.address);
+            self.state.upstreams.close_address(self.runner().address);
         }
         self.state
-            .request_ended(&self.service, &self.runner.id, outcome);
+            .request_ended(&self.service, &self.runner().id, outcome);
     }
 }
--- a/src/gateway/slot_request.rs
+++ b/src/gateway/slot_request.rs
@@ -80,7 +80,7 @@
         Admission::Run(selection) => Ok(RunnerSlot::new(
             Arc::clone(state),
             exchange.service.clone(),
-            selection.runner,
+            selection,
         )),
         Admission::Reject { retry_after } => Err(NoSlot::Full { retry_after }),
         Admission::Wait => Err(NoSlot::NOT_IN_TIME),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -22,6 +22,7 @@
 use serde_json::json;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::collections::HashMap;
 use wisteriawick_core::gateway::Admission;
@@ -31,6 +32,7 @@
 use wisteriawick_core::gateway::Declaration;
 use wisteriawick_core::gateway::DequeuedRequest;
 use wisteriawick_core::gateway::EntryCount;
+use wisteriawick_core::gateway::EntryId;
 use wisteriawick_core::gateway::LatestDeclaration;
 use wisteriawick_core::gateway::LoadReport;
 use wisteriawick_core::gateway::Pool;
@@ -40,6 +42,7 @@
 use wisteriawick_core::gateway::ResponseTimes;
 use wisteriawick_core::gateway::RunnerOutcome;
 use wisteriawick_core::gateway::RunnerRegistry;
+use wisteriawick_core::gateway::Selection;
 use wisteriawick_core::gateway::ServiceTarget;
 use wisteriawick_core::gateway::StoreBehind;
 use wisteriawick_core::gateway::WindowedRetryBudget;
@@ -55,6 +58,7 @@
 use crate::eventlog::EventCategory;
 use crate::eventlog::EventLog;
 use crate::gateway::crash_probe::CrashProbes;
+use crate::gateway::leader_shares::LeaderShares;
 use crate::gateway::rank_positions::RankPositions;
 use crate::gateway::response_body::BodyBudget;
 use crate::gateway::stop::Stop;
@@ -109,6 +113,11 @@
     /// Notified when the runners or the services change.
     pub(crate) runners_changed: Notify,
     entry_count: Mutex<EntryCount>,
+    /// Distinguishes this process from other entries.
+    pub(crate) entry_id: EntryId,
+    pub(crate) leader_shares: LeaderShares,
+    /// Number of changes of rate limits that this entry's responses brought.
+    pub(crate) limits_changed: watch::Sender<u64>,
     rng: Mutex<SmallRng>,
     next_queue_id: AtomicU64,
     /// Whether the store has listed the runners at least once.
@@ -134,6 +143,7 @@
                 .map_or(1, |age| age.as_nanos() as u64),
             |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()),
         );
+        let mut rng = SmallRng::seed_from_u64(seed);
         Self {
             store: StoreClient::new(settings.store),
             upstreams: UpstreamPool::default(),
@@ -148,7 +158,10 @@
             broken: Mutex::default(),
             runners_changed: Notify::new(),
             entry_count: Mutex::default(),
-            rng: Mutex::new(SmallRng::seed_from_u64(seed)),
+            entry_id: EntryId(rng.random()),
+            leader_shares: LeaderShares::default(),
+            limits_changed: watch::Sender::new(0),
+            rng: Mutex::new(rng),
             next_queue_id: AtomicU64::new(1),
             has_runner_list: AtomicBool::new(false),
             stop: Stop::default(),
@@ -270,7 +283,7 @@
         }
     }
 
-    fn estimated_entries(&self, now: Instant) -> u16 {
+    pub(crate) fn estimated_entries(&self, now: Instant) -> u16 {
         lock(&self.entry_count).get(now)
     }
 
@@ -303,6 +316,23 @@
         lock(&self.services).get_mut(service).map(run)
     }
 
+    /// Calls a function with the state of each service.
+    pub(crate) fn for_each_service(&self, mut run: impl FnMut(&ServiceId, &mut ServiceState)) {
+        for (service, service_state) in lock(&self.services).iter_mut() {
+            run(service, service_state);
+        }
+    }
+
+    /// Returns whether a request may be handed to the runner selected for it; see
+    /// [`Pool::hand_out`].
+    pub(crate) fn hand_out(&self, service: &ServiceId, selection: &Selection) -> bool {
+        let now = self.now();
+        self.with_service(service, |service_state| {
+            service_state.pool.hand_out(now, selection)
+        })
+        .unwrap_or(false)
+    }
+
     /// Submits a request to a service's pool; returns `None` if there is no such
     /// service.
     pub(crate) fn admit(&self, service: &ServiceId, request: QueuedRequest) -> Option<Placement> {
@@ -528,6 +558,8 @@
         if expired > 0 {
             state.refresh_services();
         }
+        state.refresh_shares();
+        state.report_limits();
         state.report_gauges();
         state.log_breaks();
         state.dispatch_all();
--- a/src/rank.rs
+++ b/src/rank.rs
@@ -9,6 +9,7 @@
 mod counts;
 mod hold_resolver;
 mod leader;
+mod limit_board;
 pub(crate) mod link;
 mod member;
 mod order;
@@ -33,6 +34,7 @@
 use crate::gateway::bind;
 use crate::rank::hold_resolver::HoldResolver;
 use crate::rank::leader::LeaderTask;
+use crate::rank::limit_board::LimitBoard;
 use crate::rank::link::GroupHandle;
 use crate::rank::member::MemberTask;
 
@@ -68,6 +70,7 @@
         runners: runners_tx,
         entries: Arc::default(),
         crashes: CrashBoard::new(Arc::clone(&clock)),
+        limits: LimitBoard::new(Arc::clone(&clock)),
     };
     tokio::spawn(link::serve(listener, handle.clone(), group, ended.clone()));
     let resolver = HoldResolver::new(Arc::clone(&clock), log.clone(), handle.clone(), runners);
--- a/src/rank/link.rs
+++ b/src/rank/link.rs
@@ -24,17 +24,21 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::gateway::CrashNote;
+use wisteriawick_core::gateway::EntryId;
 
 use crate::accept;
 use crate::crash_board::CrashBoard;
 use crate::crash_board::CrashNotes;
 use crate::gateway::PEER_USER_TIMEOUT;
 use crate::gateway::enable_dead_peer_detection;
+use crate::rank::limit_board::LimitBoard;
+use crate::rank::limit_board::LimitLink;
 use crate::rank::member::MemberHandle;
 use crate::rank::member::OwnRank;
 use crate::rank::wire::CrashNoteWire;
 use crate::rank::wire::EntryMessage;
 use crate::rank::wire::ExpertsWire;
+use crate::rank::wire::GroupLimitsWire;
 use crate::rank::wire::GroupLoadWire;
 use crate::rank::wire::GroupMessage;
 use crate::rank::wire::Hello;
@@ -80,6 +84,8 @@
     pub(crate) entries: Arc<AtomicU16>,
     /// What the linked entries know of requests that crash runners.
     pub(crate) crashes: CrashBoard,
+    /// What the linked entries know of the rate limits of runners.
+    pub(crate) limits: LimitBoard,
 }
 
 /// A connection that carries messages, each preceded by its length as a big-endian
@@ -218,8 +224,7 @@
     link.max_message = MAX_ENTRY_MESSAGE_BYTES;
     let _guard = EntryGuard::new(&group.entries);
     let mut reported_entries = 0;
-    // Entries of an older release send no messages and understand no notes.
-    let mut notes = None;
+    let mut notes = EntryNotes::default();
     loop {
         let entries = group.entries.load(Ordering::Relaxed);
         if entries != reported_entries {
@@ -238,11 +243,19 @@
     }
 }
 
-/// Exchanges notes about requests that crash runners with an entry, until the group's
-/// load has changed and the next report of it is due.
+/// What is exchanged with an entry besides the group's load. Entries of an older release
+/// send no such messages and understand none.
+#[derive(Default)]
+struct EntryNotes {
+    crashes: Option<CrashNotes>,
+    limits: Option<LimitLink>,
+}
+
+/// Exchanges notes with an entry about requests that crash runners and about rate limits,
+/// until the group's load has changed and the next report of it is due.
 async fn exchange_notes(
     link: &mut Link,
-    notes: &mut Option<CrashNotes>,
+    notes: &mut EntryNotes,
     group: &mut GroupHandle,
     next_report: Instant,
 ) -> std::io::Result<()> {
@@ -253,15 +266,35 @@
         };
         tokio::select! {
             changed = load_changed => return changed.map_err(std::io::Error::other),
-            message = link.recv::<EntryMessage>() => {
-                let EntryMessage::Crashes(received) = message?;
-                group.crashes.merge(&from_wire(&received));
-                notes.get_or_insert_with(|| group.crashes.subscribe());
-            }
-            news = next_notes(notes) => {
+            message = link.recv::<EntryMessage>() => match message? {
+                EntryMessage::Crashes(received) => {
+                    group.crashes.merge(&from_wire(&received));
+                    notes.crashes.get_or_insert_with(|| group.crashes.subscribe());
+                }
+                EntryMessage::Limits(report) => {
+                    let limits = notes.limits.get_or_insert_with(|| group.limits.link(EntryId(report.entry)));
+                    limits.report(report);
+                    link.send(&GroupMessage::Limits(limits.to_message())).await?;
+                }
+            },
+            news = next_notes(&mut notes.crashes) => {
                 send_notes(link, &news, GroupMessage::Crashes).await?;
             }
+            changed = next_limits(&mut notes.limits) => {
+                link.send(&GroupMessage::Limits(changed)).await?;
+            }
+        }
+    }
+}
+
+/// Waits for a change of the rate limits, if the entry takes part in the exchange.
+async fn next_limits(limits: &mut Option<LimitLink>) -> GroupLimitsWire {
+    match limits {
+        Some(limits) => {
+            limits.changed().await;
+            limits.to_message()
         }
+        None => std::future::pending().await,
     }
 }
 
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -51,6 +51,8 @@
 pub const STORE_BEHIND: &str = "wisteriawick_store_behind";
 /// Requests and parts of prompts that are not sent to runners since they crash them.
 pub const BLOCKED_SUSPECTS: &str = "wisteriawick_blocked_suspects";
+/// Runners that have named a rate limit which is in force, by service.
+pub const LIMITED_RUNNERS: &str = "wisteriawick_limited_runners";
 /// Switches of the expert map completed by all ranks.
 pub const MAP_SWITCHES: &str = "wisteriawick_map_switches_total";
 /// Upper bound of the seconds for which a switch of the expert map held a pass.
