--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod rate_limits;
 mod request;
+mod rests;
 mod runner;
 
 use std::collections::BTreeMap;
@@ -39,6 +40,7 @@
 pub use request::DequeuedRequest;
 pub use request::QueuedRequest;
 pub use request::QueuedRequestId;
+pub use request::RejectReason;
 pub use request::RunnerOutcome;
 pub use request::Selection;
 
@@ -164,6 +166,7 @@
                         known.health = Health::new(now);
                         known.clear_report();
                         known.limiter = Limiter::new(now);
+                        known.resting_until = None;
                         known.record_sign_of_life(now);
                     }
                     known.listed = listed;
@@ -218,6 +221,9 @@
         if let Some(selection) = self.select(now, &request) {
             return Admission::Run(selection);
         }
+        if let Some(rest) = self.all_rest(now, &request) {
+            return reject_until(rest);
+        }
         if !self.may_queue(now, &request) {
             return self.reject();
         }
@@ -252,7 +258,7 @@
             match outcome {
                 RunnerOutcome::Served => runner.health.record_served(now),
                 RunnerOutcome::Abandoned => {}
-                RunnerOutcome::Busy => {}
+                RunnerOutcome::Busy | RunnerOutcome::Rests => {}
                 RunnerOutcome::Failed => runner.health.record_broken(now),
                 RunnerOutcome::ErrorResponse => runner.health.record_error_response(now),
                 RunnerOutcome::Replaced => runner.health.record_replaced(now),
@@ -402,10 +408,13 @@
             let admission = match self.select(now, &request) {
                 Some(selection) => Admission::Run(selection),
                 None if now >= request.deadline => self.reject(),
-                None => {
-                    self.queue.push(request);
-                    continue;
-                }
+                None => match self.all_rest(now, &request) {
+                    Some(rest) => reject_until(rest),
+                    None => {
+                        self.queue.push(request);
+                        continue;
+                    }
+                },
             };
             dequeued.push(DequeuedRequest {
                 queue_id: request.queue_id,
@@ -478,11 +487,14 @@
     }
 
     /// Returns whether a request may be handed to the runner that was selected for it. Call
-    /// this right before sending: the runner may have named a limit since.
+    /// this right before sending: the runner may have named a limit or a rest since.
     pub fn hand_out(&mut self, now: Instant, selection: &Selection) -> bool {
         let Some(runner) = self.runners.get_mut(&selection.runner.id) else {
             return true;
         };
+        if runner.rest_left(now).is_some() {
+            return false;
+        }
         selection.is_counted || runner.limiter.take(now, &runner.listed.id, &self.share)
     }
 
@@ -535,6 +547,17 @@
 
     fn reject(&self) -> Admission {
         let retry_after = self.expected_wait().clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        Admission::Reject { retry_after }
+        Admission::Reject {
+            retry_after,
+            reason: RejectReason::NoRoom,
+        }
+    }
+}
+
+/// Rejects a request that no runner takes before a time has passed.
+fn reject_until(rest: Duration) -> Admission {
+    Admission::Reject {
+        retry_after: rest,
+        reason: RejectReason::AllRest,
     }
 }
--- a/crates/core/src/gateway/pool/rate_limits.rs
+++ b/crates/core/src/gateway/pool/rate_limits.rs
@@ -83,7 +83,7 @@
     }
 
     /// Returns the state of a runner if it has not started again.
-    fn same_start(&mut self, runner: &ListedRunner) -> Option<&mut Runner> {
+    pub(super) fn same_start(&mut self, runner: &ListedRunner) -> Option<&mut Runner> {
         self.runners
             .get_mut(&runner.id)
             .filter(|known| known.listed.started_unix_ms == runner.started_unix_ms)
--- a/crates/core/src/gateway/pool/request.rs
+++ b/crates/core/src/gateway/pool/request.rs
@@ -1,5 +1,6 @@
 //! Requests as the pool sees them, and its decisions about them.
 
+use std::fmt;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -52,13 +53,33 @@
     Run(Selection),
     /// The request is queued; a [`DequeuedRequest`] follows later.
     Wait,
-    /// Reject the request because of overload.
+    /// Reject the request.
     Reject {
         /// Time after which the caller should retry.
         retry_after: Duration,
+        /// Why.
+        reason: RejectReason,
     },
 }
 
+/// Why a request is rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RejectReason {
+    /// There is too much load.
+    NoRoom,
+    /// All runners that could take it have asked to be left alone.
+    AllRest,
+}
+
+impl fmt::Display for RejectReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NoRoom => "no room in time",
+            Self::AllRest => "all runners rest",
+        })
+    }
+}
+
 /// A request that left the queue.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DequeuedRequest {
@@ -77,6 +98,8 @@
     Abandoned,
     /// The runner refused the request without executing it.
     Busy,
+    /// The runner refused the request and wants no other one for a time.
+    Rests,
     /// The connection broke or the runner did not respond in time.
     Failed,
     /// The runner returned an error response.
@@ -89,7 +112,7 @@
     /// Returns whether the runner has sent something.
     pub(super) fn is_sign_of_life(self) -> bool {
         match self {
-            Self::Served | Self::Busy | Self::ErrorResponse | Self::Replaced => true,
+            Self::Served | Self::Busy | Self::Rests | Self::ErrorResponse | Self::Replaced => true,
             Self::Abandoned | Self::Failed => false,
         }
     }
--- a/crates/core/src/gateway/pool/runner.rs
+++ b/crates/core/src/gateway/pool/runner.rs
@@ -32,6 +32,8 @@
     recent_changes: VecDeque<(Instant, i32)>,
     pub(super) health: Health,
     pub(super) limiter: Limiter,
+    /// Until when the runner has asked to be left alone.
+    pub(super) resting_until: Option<Instant>,
     /// Since when the runner has had requests without a sign of life.
     silent_since: Option<Instant>,
     last_report: Option<ReceivedReport>,
@@ -56,6 +58,7 @@
             recent_changes: VecDeque::new(),
             health: Health::new(now),
             limiter: Limiter::new(now),
+            resting_until: None,
             silent_since: None,
             last_report: None,
             is_unlisted: false,
@@ -67,9 +70,18 @@
         self.in_flight
     }
 
+    /// Returns how long the runner still wants no request.
+    pub(super) fn rest_left(&self, now: Instant) -> Option<Duration> {
+        let left = self.resting_until?.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Returns whether nothing of the runner needs to be kept.
     pub(super) fn is_forgettable(&self, now: Instant) -> bool {
-        self.is_unlisted && self.in_flight == 0 && !self.limiter.is_in_force(now)
+        self.is_unlisted
+            && self.in_flight == 0
+            && !self.limiter.is_in_force(now)
+            && self.rest_left(now).is_none()
     }
 
     /// Records that this entry sends a request to the runner.
@@ -165,6 +177,7 @@
             && !self.is_unlisted
             && self.listed.state == ListedState::Ready
             && !self.health.is_unavailable(now)
+            && self.rest_left(now).is_none()
     }
 
     /// Returns the last report unless it is too old.
--- a/crates/core/tests/gateway_pool/waiting.rs
+++ b/crates/core/tests/gateway_pool/waiting.rs
@@ -193,5 +193,5 @@
         );
     }
     let rejected = pool.admit(now, queued_request(now, 9));
-    assert!(matches!(rejected, Admission::Reject { retry_after } if !retry_after.is_zero()));
+    assert!(matches!(rejected, Admission::Reject { retry_after, .. } if !retry_after.is_zero()));
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,6 +19,7 @@
 mod relay;
 mod response;
 mod response_body;
+mod rests;
 mod runner_slot;
 mod slot_request;
 mod state;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 use wisteriawick_core::gateway::AttemptOutcome;
 use wisteriawick_core::gateway::EventSplitter;
+use wisteriawick_core::gateway::RestNotice;
 use wisteriawick_core::gateway::RetryPolicy;
 use wisteriawick_core::gateway::RunnerOutcome;
 use wisteriawick_core::gateway::SequenceChecker;
@@ -332,9 +333,10 @@
         slot.observe(sent_at, &head);
     }
     if head.is_not_executed {
-        let outcome = match head.is_misdirected {
-            true => RunnerOutcome::Replaced,
-            false => RunnerOutcome::Busy,
+        let outcome = match head.rest {
+            _ if head.is_misdirected => RunnerOutcome::Replaced,
+            RestNotice::For(_) => RunnerOutcome::Rests,
+            RestNotice::None | RestNotice::Unreadable => RunnerOutcome::Busy,
         };
         slot.set_outcome(outcome);
         let detail = format!("status {}", head.status.as_u16());
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -28,6 +28,7 @@
 use wisteriawick_core::gateway::CrashTrial;
 use wisteriawick_core::gateway::Denied;
 use wisteriawick_core::gateway::NextStep;
+use wisteriawick_core::gateway::RejectReason;
 use wisteriawick_core::gateway::RetryState;
 use wisteriawick_core::gateway::RouteMatch;
 use wisteriawick_core::gateway::StopSchedule;
@@ -322,7 +323,9 @@
                 return exchange.respond_unknown();
             }
             NextStep::Unknown => return exchange.respond_unknown(),
-            NextStep::Refuse => return exchange.reject(attempts, RETRY_AFTER_WAIT),
+            NextStep::Refuse => {
+                return exchange.reject(attempts, RETRY_AFTER_WAIT, RejectReason::NoRoom);
+            }
         }
     }
 }
--- a/src/gateway/exchange/replies.rs
+++ b/src/gateway/exchange/replies.rs
@@ -5,6 +5,7 @@
 use http::Response;
 use http::StatusCode;
 use serde_json::json;
+use wisteriawick_core::gateway::RejectReason;
 use wisteriawick_core::gateway::StopSchedule;
 use wisteriawick_core::hosting::ListedRunner;
 
@@ -64,7 +65,10 @@
         no_slot: NoSlot,
     ) -> Response<Body> {
         match no_slot {
-            NoSlot::Full { retry_after } => self.reject(attempts, retry_after),
+            NoSlot::Full {
+                retry_after,
+                reason,
+            } => self.reject(attempts, retry_after, reason),
             NoSlot::Blocked(_) if attempts.retry.may_have_run => self.respond_unknown(),
             NoSlot::Blocked(block) => self.refuse_blocked(block),
         }
@@ -116,7 +120,7 @@
                 "no answer in time",
             );
         }
-        self.reject(attempts, RETRY_AFTER_WAIT)
+        self.reject(attempts, RETRY_AFTER_WAIT, RejectReason::NoRoom)
     }
 
     /// Responds that the request was not executed, or that this is unknown if it may
@@ -125,6 +129,7 @@
         &self,
         attempts: &RequestAttempts,
         retry_after: Duration,
+        reason: RejectReason,
     ) -> Response<Body> {
         if attempts.retry.may_have_run {
             return self.respond_unknown();
@@ -139,7 +144,7 @@
             EventCategory::Failure,
             "refused",
             json!({
-                "reason": limit.as_deref().unwrap_or("no room in time"),
+                "reason": limit.unwrap_or_else(|| reason.to_string()),
                 "in_flight": in_flight,
                 "waiting": waiting,
                 "retry_after_ms": retry_after.as_millis() as u64,
--- /dev/null
+++ b/src/gateway/rests.rs
@@ -0,0 +1,48 @@
+//! Runners that want no request for a time, or none any more, as their responses say.
+
+use metrics::gauge;
+use wisteriawick_core::gateway::RestNotice;
+use wisteriawick_core::hosting::ListedRunner;
+use wisteriawick_core::ids::ServiceId;
+
+use crate::eventlog::EventCategory;
+use crate::gateway::state::GatewayState;
+use crate::telemetry;
+
+impl GatewayState {
+    /// Takes in what a refusal says about when to come back.
+    pub(crate) fn observe_rest(
+        &self,
+        service: &ServiceId,
+        runner: &ListedRunner,
+        notice: RestNotice,
+    ) {
+        let rest = match notice {
+            RestNotice::None => return,
+            RestNotice::For(rest) => rest,
+            RestNotice::Unreadable => {
+                let mut fields = self.positions.log_fields(runner);
+                fields["problem"] = "a rest that is no valid time; ignored".into();
+                self.log.line(EventCategory::Failure, "unreadable", fields);
+                return;
+            }
+        };
+        let now = self.now();
+        self.with_service(service, |service_state| {
+            service_state.pool.rest(now, runner, rest);
+        });
+        let mut fields = self.positions.log_fields(runner);
+        fields["rest_ms"] = (rest.as_millis() as u64).into();
+        self.log.line(EventCategory::State, "runner_rests", fields);
+    }
+
+    /// Sets the gauges that show how many runners rest.
+    pub(crate) fn report_rests(&self) {
+        let now = self.now();
+        self.for_each_service(|service, service_state| {
+            let label = service.as_str().to_string();
+            let resting = service_state.pool.resting_count(now);
+            gauge!(telemetry::RESTING_RUNNERS, "service" => label).set(resting as f64);
+        });
+    }
+}
--- a/src/gateway/runner_slot.rs
+++ b/src/gateway/runner_slot.rs
@@ -55,6 +55,8 @@
     pub(crate) fn observe(&self, sent_at: Instant, head: &ResponseHead) {
         self.state
             .observe_limit(&self.service, self.runner(), sent_at, head.limit);
+        self.state
+            .observe_rest(&self.service, self.runner(), head.rest);
     }
 
     /// Sets the outcome that is reported when the slot is dropped.
--- a/src/gateway/slot_request.rs
+++ b/src/gateway/slot_request.rs
@@ -8,6 +8,7 @@
 use wisteriawick_core::gateway::Admission;
 use wisteriawick_core::gateway::QueuedRequest;
 use wisteriawick_core::gateway::QueuedRequestId;
+use wisteriawick_core::gateway::RejectReason;
 use wisteriawick_core::gateway::RunnerOutcome;
 
 use crate::gateway::exchange::Block;
@@ -33,7 +34,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum NoSlot {
     /// No slot is free in time; the caller should retry after a time.
-    Full { retry_after: Duration },
+    Full {
+        retry_after: Duration,
+        reason: RejectReason,
+    },
     /// It must not be sent to runners for a time, since it crashes them.
     Blocked(Block),
 }
@@ -41,6 +45,7 @@
 impl NoSlot {
     const NOT_IN_TIME: Self = Self::Full {
         retry_after: RETRY_AFTER_WAIT,
+        reason: RejectReason::NoRoom,
     };
 }
 
@@ -82,7 +87,13 @@
             exchange.service.clone(),
             selection,
         )),
-        Admission::Reject { retry_after } => Err(NoSlot::Full { retry_after }),
+        Admission::Reject {
+            retry_after,
+            reason,
+        } => Err(NoSlot::Full {
+            retry_after,
+            reason,
+        }),
         Admission::Wait => Err(NoSlot::NOT_IN_TIME),
     }
 }
@@ -117,7 +128,10 @@
                 Ok(Ok(admission)) => Ok(admission),
                 _ => Err(NoSlot::NOT_IN_TIME),
             },
-            () = too_late => Err(NoSlot::Full { retry_after: RETRY_AFTER_STOP }),
+            () = too_late => Err(NoSlot::Full {
+                retry_after: RETRY_AFTER_STOP,
+                reason: RejectReason::NoRoom,
+            }),
             block = exchange.wait_until_blocked() => Err(NoSlot::Blocked(block)),
         }
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -560,6 +560,7 @@
         }
         state.refresh_shares();
         state.report_limits();
+        state.report_rests();
         state.report_gauges();
         state.log_breaks();
         state.dispatch_all();
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -53,6 +53,8 @@
 pub const BLOCKED_SUSPECTS: &str = "wisteriawick_blocked_suspects";
 /// Runners that have named a rate limit which is in force, by service.
 pub const LIMITED_RUNNERS: &str = "wisteriawick_limited_runners";
+/// Runners that want no request for a time after they refused one, by service.
+pub const RESTING_RUNNERS: &str = "wisteriawick_resting_runners";
 /// Switches of the expert map completed by all ranks.
 pub const MAP_SWITCHES: &str = "wisteriawick_map_switches_total";
 /// Upper bound of the seconds for which a switch of the expert map held a pass.
