A retry that reaches no runner is given back to the retry budget

A retry was taken from the budget before a runner was found for it. While all runners rested, or none had room in time, the request ended without a second attempt and the retry was gone, so later requests that had a runner were refused for want of budget. RetryState now knows whether its retry has been used; a request that ends without it gives it back. Found by reading every place where a request is handed to a runner. The unit test does not compile before (there was no way to give it back). Not covered: a caller that leaves while its retry waits, which keeps the retry spent.

--- a/crates/core/src/gateway/retry.rs
+++ b/crates/core/src/gateway/retry.rs
@@ -73,6 +73,8 @@
     pub deadline: Instant,
     /// What ruled out an attempt after the last one; `None` if it was allowed.
     pub limit: Option<RetryLimit>,
+    /// Whether a retry was taken from the budget and has reached no runner yet.
+    pub has_unused_retry: bool,
 }
 
 impl RetryState {
@@ -85,6 +87,7 @@
             may_have_run: false,
             deadline,
             limit: None,
+            has_unused_retry: false,
         }
     }
 
@@ -107,6 +110,7 @@
         let possibly_ran = matches!(outcome, AttemptOutcome::Failed | AttemptOutcome::Unknown);
         if outcome != AttemptOutcome::NotSent {
             self.reached += 1;
+            self.has_unused_retry = false;
         }
         self.may_have_run |= possibly_ran;
         self.limit = self.reached_limit(now, outcome, spend);
@@ -120,8 +124,19 @@
         }
     }
 
+    /// Records that an attempt has reached a runner.
+    pub fn record_sent(&mut self) {
+        self.has_unused_retry = false;
+    }
+
+    /// Returns whether a retry is to be given back to the budget, as the request ends
+    /// without having used it.
+    pub fn take_unused_retry(&mut self) -> bool {
+        std::mem::take(&mut self.has_unused_retry)
+    }
+
     fn reached_limit(
-        &self,
+        &mut self,
         now: Instant,
         outcome: AttemptOutcome,
         spend: impl FnOnce() -> bool,
@@ -135,7 +150,10 @@
         if self.reached >= self.max_attempts {
             return Some(RetryLimit::Attempts);
         }
-        let has_budget = outcome == AttemptOutcome::NotSent || spend();
-        (!has_budget).then_some(RetryLimit::Budget)
+        if outcome == AttemptOutcome::NotSent {
+            return None;
+        }
+        self.has_unused_retry = spend();
+        (!self.has_unused_retry).then_some(RetryLimit::Budget)
     }
 }
--- a/crates/core/src/gateway/windowed_retry_budget.rs
+++ b/crates/core/src/gateway/windowed_retry_budget.rs
@@ -64,6 +64,11 @@
         true
     }
 
+    /// Gives back a retry that reached no runner.
+    pub fn refund_retry(&mut self) {
+        self.retries.pop_back();
+    }
+
     fn drop_expired(&mut self, now: Instant) {
         for times in [&mut self.requests, &mut self.retries] {
             while times.front().is_some_and(|at| *at + self.window <= now) {
--- a/crates/core/tests/gateway_request.rs
+++ b/crates/core/tests/gateway_request.rs
@@ -331,3 +331,27 @@
     entry_count.update(at(501), 8);
     assert_eq!(entry_count.get(at(501)), 8);
 }
+
+#[test]
+fn a_retry_that_reaches_no_runner_is_given_back_to_the_budget() {
+    let now = Instant::now();
+    let mut budget = WindowedRetryBudget::new(0.0, 10, 4, Duration::from_secs(10));
+    let mut retry = RetryState::new(true, 3, now + Duration::from_secs(1));
+    let step = retry.next_step(now, AttemptOutcome::NotRun, || budget.try_retry(now));
+    assert_eq!(step, NextStep::Again);
+    // The runner that was to get it rests, and so do all others.
+    let spend = || panic!("it has a retry already");
+    retry.next_step(now, AttemptOutcome::NotSent, spend);
+    assert!(retry.take_unused_retry());
+    assert!(!retry.take_unused_retry(), "once");
+    budget.refund_retry();
+    let left = (0..10).filter(|_| budget.try_retry(now)).count();
+    assert_eq!(
+        left, 2,
+        "as many as at first: ten for four entries, less the margin"
+    );
+
+    retry.next_step(now, AttemptOutcome::NotRun, || true);
+    retry.record_sent();
+    assert!(!retry.take_unused_retry(), "a runner got it");
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -156,6 +156,16 @@
     Failed(FailedAttempt),
 }
 
+impl AttemptResult {
+    /// Returns whether the request reached the runner, or may have.
+    pub(crate) fn was_sent(&self) -> bool {
+        match self {
+            Self::Buffered(_) | Self::Stream(_) => true,
+            Self::Failed(failed) => failed.outcome != AttemptOutcome::NotSent,
+        }
+    }
+}
+
 impl FailedAttempt {
     pub(crate) fn new(outcome: AttemptOutcome, detail: impl Into<String>) -> Self {
         Self {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -283,7 +283,11 @@
         is_in_flight: false,
     };
     let responding = attempt_until_response(&exchange, &mut attempts);
-    match unless_due(state, exchange.deadline, responding).await {
+    let outcome = unless_due(state, exchange.deadline, responding).await;
+    if !attempts.is_in_flight {
+        exchange.refund_retry(&mut attempts.retry);
+    }
+    match outcome {
         Ok(res) => res,
         Err(due) => exchange.respond_due(&attempts, due),
     }
@@ -303,6 +307,9 @@
         let last_event = exchange.caller.last_event_id;
         let result = attempt::send(exchange, attempts, slot, last_event).await;
         attempts.is_in_flight = false;
+        if result.was_sent() {
+            attempts.retry.record_sent();
+        }
         let failed = match result {
             AttemptResult::Buffered(response) => return exchange.forward(response, &runner),
             AttemptResult::Stream(stream) => {
@@ -480,6 +487,15 @@
         Ok(*trial)
     }
 
+    /// Gives a retry back to the budget that was taken from it and reached no runner.
+    pub(crate) fn refund_retry(&self, retry: &mut RetryState) {
+        if retry.take_unused_retry() {
+            self.state.with_service(&self.service, |service_state| {
+                service_state.budget.refund_retry();
+            });
+        }
+    }
+
     /// Records that a runner executed the request without crashing.
     pub(crate) fn record_sound(&self) {
         self.state
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -255,6 +255,7 @@
             let slot = match self.slot_after(&runner, &failed, last).await {
                 Ok(slot) => slot,
                 Err(reason) => {
+                    self.exchange.refund_retry(&mut self.attempts.retry);
                     return Err(BrokenStream {
                         runner,
                         detail: failed.detail,
@@ -263,7 +264,11 @@
                 }
             };
             runner = slot.runner().clone();
-            match attempt::send(&self.exchange, &self.attempts, slot, last).await {
+            let result = attempt::send(&self.exchange, &self.attempts, slot, last).await;
+            if result.was_sent() {
+                self.attempts.retry.record_sent();
+            }
+            match result {
                 AttemptResult::Stream(stream) => {
                     let fields = json!({"after": last});
                     self.exchange
