A runner that says it is leaving gets no new requests, also while the store is silent

What callers saw: nothing yet. A runner that leaves says so in all its responses; no code read that, so while the store was silent requests went to runners that had said it.

Change: the registry takes it like the store's word, for this start of the runner only, until it starts again, whatever the store or an older copy of it lists. A request that was selected before is not handed to a runner that leaves, is not listed any more or has started again.

--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -487,12 +487,13 @@
     }
 
     /// Returns whether a request may be handed to the runner that was selected for it. Call
-    /// this right before sending: the runner may have named a limit or a rest since.
+    /// this right before sending: the runner may have named a limit or a rest
+    /// since, or be leaving.
     pub fn hand_out(&mut self, now: Instant, selection: &Selection) -> bool {
         let Some(runner) = self.runners.get_mut(&selection.runner.id) else {
             return true;
         };
-        if runner.rest_left(now).is_some() {
+        if runner.is_gone(&selection.runner) || runner.rest_left(now).is_some() {
             return false;
         }
         selection.is_counted || runner.limiter.take(now, &runner.listed.id, &self.share)
--- a/crates/core/src/gateway/pool/runner.rs
+++ b/crates/core/src/gateway/pool/runner.rs
@@ -70,6 +70,15 @@
         self.in_flight
     }
 
+    /// Returns whether the runner that was selected takes no more requests: it is leaving,
+    /// is not listed any more, or has started again.
+    pub(super) fn is_gone(&self, selected: &ListedRunner) -> bool {
+        self.is_unlisted
+            || self.listed.state != ListedState::Ready
+            || self.listed.started_unix_ms != selected.started_unix_ms
+            || self.listed.address != selected.address
+    }
+
     /// Returns how long the runner still wants no request.
     pub(super) fn rest_left(&self, now: Instant) -> Option<Duration> {
         let left = self.resting_until?.saturating_duration_since(now);
--- a/crates/core/src/gateway/runner_registry.rs
+++ b/crates/core/src/gateway/runner_registry.rs
@@ -9,6 +9,9 @@
 //! copy was taken, and lists runners that have left since. The former are kept for
 //! the grace period too. The latter are withheld: they get no new requests until
 //! they show that they are alive.
+//!
+//! A runner may also say itself that it is leaving, before the store does or while the
+//! store is away. It is withheld until it starts again.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -63,6 +66,8 @@
     last: ListedRunner,
     /// When the record was removed.
     at: Instant,
+    /// Whether the runner itself had said that it was leaving.
+    is_announced: bool,
 }
 
 #[derive(Debug)]
@@ -73,13 +78,16 @@
     withheld: Option<Withheld>,
 }
 
-/// Why a runner that a restored store lists gets no new requests.
+/// Why a runner that the store lists as ready gets no new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Withheld {
-    /// It was leaving, and a runner that leaves does not return before it restarts.
+    /// It said itself that it is leaving.
+    Announced,
+    /// The store that was restored lists it as ready, but it was leaving, and a runner
+    /// that leaves does not return before it restarts.
     Leaving,
-    /// Its record was removed, or was replaced by that of a later start. It has to
-    /// write again.
+    /// The store was restored and lists it, but its record was removed, or was replaced
+    /// by that of a later start. It has to write again.
     Removed,
 }
 
@@ -130,12 +138,19 @@
     /// runner is new or its address, state or start time changed.
     pub fn update(&mut self, runner: ListedRunner) -> bool {
         let id = runner.id.clone();
-        self.removed.remove(&id);
+        let removed = self.removed.remove(&id);
         let previous = self.records.get(&id);
-        let withheld = previous
-            .filter(|previous| previous.runner.started_unix_ms == runner.started_unix_ms)
-            .and_then(|previous| previous.withheld)
-            .filter(|withheld| *withheld == Withheld::Leaving)
+        let is_same_start = |other: &ListedRunner| other.started_unix_ms == runner.started_unix_ms;
+        let withheld = match removed {
+            Some(removed) if removed.is_announced && is_same_start(&removed.last) => {
+                Some(Withheld::Announced)
+            }
+            _ => previous
+                .filter(|previous| is_same_start(&previous.runner))
+                .and_then(|previous| previous.withheld),
+        };
+        let withheld = withheld
+            .filter(|withheld| matches!(withheld, Withheld::Announced | Withheld::Leaving))
             .filter(|_| runner.state == ListedState::Ready);
         let visible_state =
             |runner: &ListedRunner| (runner.address, runner.state, runner.started_unix_ms);
@@ -160,6 +175,23 @@
             .is_some_and(|known| known.runner.started_unix_ms != runner.started_unix_ms)
     }
 
+    /// Records that a runner said itself that it is leaving, while `said` was its record.
+    /// Returns whether that is news. Another start of it is not concerned.
+    pub fn announce_leaving(&mut self, said: &ListedRunner) -> bool {
+        let is_same_start = |record: &&mut Record| {
+            let known = &record.runner;
+            known.started_unix_ms == said.started_unix_ms && known.address == said.address
+        };
+        let Some(record) = self.records.get_mut(&said.id).filter(is_same_start) else {
+            return false;
+        };
+        let is_news = record.effective().state == ListedState::Ready;
+        if record.runner.state == ListedState::Ready {
+            record.withheld = Some(Withheld::Announced);
+        }
+        is_news
+    }
+
     /// Removes a runner's record, or marks it as expired in the grace period.
     pub fn remove(&mut self, now: Instant, id: &RunnerId) {
         if let Some(record) = self.records.get_mut(id) {
@@ -196,8 +228,11 @@
     /// Returns the number of listed runners that get no new requests because only a
     /// restored copy says that they take any.
     pub fn withheld_count(&self) -> usize {
-        let withheld = |record: &&Record| record.withheld.is_some() && !record.is_expired;
-        self.records.values().filter(withheld).count()
+        let is_withheld = |record: &&Record| {
+            let by_restore = matches!(record.withheld, Some(Withheld::Leaving | Withheld::Removed));
+            by_restore && !record.is_expired
+        };
+        self.records.values().filter(is_withheld).count()
     }
 
     /// Returns the runners of a service. Withheld ones are leaving.
@@ -284,7 +319,8 @@
         let before = self.records.len();
         for (id, record) in self.records.extract_if(.., |_, record| record.is_expired) {
             let mut runner = record.runner;
-            if record.withheld == Some(Withheld::Leaving) {
+            let is_announced = record.withheld == Some(Withheld::Announced);
+            if is_announced || record.withheld == Some(Withheld::Leaving) {
                 runner.state = ListedState::Leaving;
             }
             self.removed.insert(
@@ -292,6 +328,7 @@
                 RemovedRunner {
                     last: runner,
                     at: now,
+                    is_announced,
                 },
             );
         }
--- a/crates/core/tests/gateway_pool/main.rs
+++ b/crates/core/tests/gateway_pool/main.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod health;
+mod leaving;
 mod resting;
 mod restored_store;
 mod runner_registry;
--- a/src/gateway/rests.rs
+++ b/src/gateway/rests.rs
@@ -1,5 +1,6 @@
 //! Runners that want no request for a time, or none any more, as their responses say.
 
+use metrics::counter;
 use metrics::gauge;
 use wisteriawick_core::gateway::RestNotice;
 use wisteriawick_core::hosting::ListedRunner;
@@ -7,6 +8,7 @@
 
 use crate::eventlog::EventCategory;
 use crate::gateway::state::GatewayState;
+use crate::gateway::state::lock;
 use crate::telemetry;
 
 impl GatewayState {
@@ -36,6 +38,20 @@
         self.log.line(EventCategory::State, "runner_rests", fields);
     }
 
+    /// Takes in that a runner says that it is leaving. This counts like the same word of
+    /// the store.
+    pub(crate) fn observe_leaving(&self, runner: &ListedRunner) {
+        let is_news = lock(&self.runner_registry).announce_leaving(runner);
+        if !is_news {
+            return;
+        }
+        self.refresh_services();
+        counter!(telemetry::LEAVING_ANNOUNCED).increment(1);
+        let fields = self.positions.log_fields(runner);
+        self.log
+            .line(EventCategory::State, "runner_leaving", fields);
+    }
+
     /// Sets the gauges that show how many runners rest.
     pub(crate) fn report_rests(&self) {
         let now = self.now();
--- a/src/gateway/runner_slot.rs
+++ b/src/gateway/runner_slot.rs
@@ -57,6 +57,9 @@
             .observe_limit(&self.service, self.runner(), sent_at, head.limit);
         self.state
             .observe_rest(&self.service, self.runner(), head.rest);
+        if head.is_leaving {
+            self.state.observe_leaving(self.runner());
+        }
     }
 
     /// Sets the outcome that is reported when the slot is dropped.
