Soak: runners that name a limit, ask for rest or leave, while entries fail

Real entry processes; a third of the notices each, beside a kill, stop or freeze of an entry. The check counts what reaches the runner once all have heard. The limit is kept without leaders there; the socket tests and the fault matrix have them.

--- a/crates/soak/src/defect.rs
+++ b/crates/soak/src/defect.rs
@@ -26,7 +26,7 @@
         return Ok(response);
     }
     match fixture.soak.defect {
-        None | Some(Defect::EndsEarly | Defect::ForgetsAcknowledged) => {}
+        None | Some(Defect::EndsEarly | Defect::ForgetsAcknowledged | Defect::HidesNotices) => {}
         Some(Defect::LosesResponses) => return Err("lost by a defect".into()),
         Some(Defect::BreaksOff) => response.body = None,
         Some(Defect::Lies) => {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -237,7 +237,7 @@
 }
 
 /// Kills an entry and restarts it after `duration`.
-async fn kill(fixture: &Fixture, index: usize, duration: Duration) {
+pub(crate) async fn kill(fixture: &Fixture, index: usize, duration: Duration) {
     let entry = &fixture.entries[index].process;
     if !entry.is_in_rotation() {
         return; // Another fault already affects the entry.
@@ -251,7 +251,7 @@
 }
 
 /// Suspends an entry for `duration`. Requests in progress may fail meanwhile.
-async fn freeze(fixture: &Fixture, index: usize, duration: Duration) {
+pub(crate) async fn freeze(fixture: &Fixture, index: usize, duration: Duration) {
     let entry = &fixture.entries[index].process;
     if !entry.is_in_rotation() {
         return; // Another fault already affects the entry.
@@ -269,7 +269,7 @@
 
 /// Stops an entry gracefully, as an operator would, and restarts it. This is no outage:
 /// the requests in progress must complete.
-async fn stop(fixture: &Fixture, index: usize) {
+pub(crate) async fn stop(fixture: &Fixture, index: usize) {
     let entry = &fixture.entries[index].process;
     if !entry.is_in_rotation() {
         return; // Another fault already affects the entry.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 mod groups;
 mod load;
 mod memory;
+mod notices;
 mod power;
 mod proxy;
 mod report;
@@ -44,6 +45,9 @@
     PlannedStops,
     /// Only losses of power, one after the other.
     PowerLosses,
+    /// Runners that name a rate limit, ask for rest or say that they leave, each while an
+    /// entry is killed, stopped or frozen.
+    Notices,
 }
 
 /// A deliberate defect, which shows that the checks find it. The first four alter what
@@ -62,6 +66,8 @@
     EndsEarly,
     /// What was acknowledged right before a loss of power is forgotten.
     ForgetsAcknowledged,
+    /// Entries do not hear what runners say of themselves.
+    HidesNotices,
 }
 
 /// Settings of one run of the soak test.
@@ -121,6 +127,15 @@
         }
     }
 
+    /// Returns the settings of a run of runners' notices for ten seconds.
+    pub fn notices(seed: u64) -> Self {
+        Self {
+            duration: Duration::from_secs(10),
+            faults: FaultMix::Notices,
+            ..Self::small(seed)
+        }
+    }
+
     /// Runs the soak test with the program at `binary` and returns its report. The
     /// settings files and logs of the processes are written to `dir` and remain there.
     ///
@@ -142,6 +157,7 @@
         let memory = tokio::spawn(memory::watch(Arc::clone(&fixture), cx.clone()));
         match self.faults {
             FaultMix::Any | FaultMix::PowerLosses => faults::inject_all(&fixture, self).await,
+            FaultMix::Notices => notices::inject_all(&fixture, self).await,
             FaultMix::PlannedStops => stops::inject_all(&fixture, self).await,
         }
         callers.stop().await;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -120,6 +120,21 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_runners_say_of_themselves_is_kept_while_entries_fail() {
+    run_soak(Soak::notices(1)).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_that_do_not_hear_runners_are_found() {
+    let soak = Soak {
+        defect: Some(Defect::HidesNotices),
+        ..Soak::notices(1)
+    };
+    let (report, _) = run(soak).await;
+    assert_found(&report, "to a runner that said");
+}
+
 async fn run_crashes(soak: CrashSoak) -> (SoakReport, PathBuf) {
     let binary = Path::new(env!("CARGO_BIN_EXE_wisteriawick"));
     let CrashSoak { seed, defect, .. } = soak;
