--- a/crates/core/src/gateway/limit_notes.rs
+++ b/crates/core/src/gateway/limit_notes.rs
@@ -10,8 +10,8 @@
 
 /// How long a note is passed on.
 const NOTE_LIFETIME: Duration = Duration::from_secs(10);
-/// Most runners of which notes are kept.
-const MAX_RUNNERS: usize = 1_024;
+/// Most runners of which notes are kept. All fit in one message to an entry.
+const MAX_RUNNERS: usize = 512;
 
 #[derive(Clone, Copy, Debug)]
 struct Entry {
--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -491,7 +491,7 @@
     /// since, or be leaving.
     pub fn hand_out(&mut self, now: Instant, selection: &Selection) -> bool {
         let Some(runner) = self.runners.get_mut(&selection.runner.id) else {
-            return true;
+            return false;
         };
         if runner.is_gone(&selection.runner) || runner.rest_left(now).is_some() {
             return false;
--- a/crates/core/src/gateway/pool/rests.rs
+++ b/crates/core/src/gateway/pool/rests.rs
@@ -19,9 +19,8 @@
 
     /// Returns the number of runners that want no request now.
     pub fn resting_count(&self, now: Instant) -> usize {
-        let mut runners = self.runners.values();
         let is_resting = |runner: &&Runner| runner.rest_left(now).is_some();
-        runners.by_ref().filter(is_resting).count()
+        self.runners.values().filter(is_resting).count()
     }
 
     /// Returns how long all runners that a request could be sent to want none; `None` if
--- a/crates/faults/src/rate_limits.rs
+++ b/crates/faults/src/rate_limits.rs
@@ -400,12 +400,12 @@
             if entry.id != request.id {
                 continue;
             }
-            let is_read = match (self.mutation, request.notice) {
-                (Some(LimitMutation::IgnoresLimit), _) => false,
-                (Some(LimitMutation::NeverEnds), LimitNotice::Unlimited) => false,
-                _ => true,
-            };
-            if is_read {
+            let is_ignored = matches!(
+                (self.mutation, request.notice),
+                (Some(LimitMutation::IgnoresLimit), _)
+                    | (Some(LimitMutation::NeverEnds), LimitNotice::Unlimited)
+            );
+            if !is_ignored {
                 let runner = &request.selection.runner;
                 entry
                     .pool
@@ -461,11 +461,8 @@
             told.iter().filter(|step| window.contains(step)).count()
         };
         let count = |span: std::ops::Range<u64>| {
-            let mut arrivals = self.arrivals.iter();
-            arrivals
-                .by_ref()
-                .filter(|arrival| span.contains(&arrival.step))
-                .count()
+            let steps = self.arrivals.iter().map(|arrival| arrival.step);
+            steps.filter(|step| span.contains(step)).count()
         };
         let end = LIMITED.end + END_STEPS;
         LimitReport {
--- a/src/rank/wire.rs
+++ b/src/rank/wire.rs
@@ -206,8 +206,7 @@
     fn from(wire: DemandWire) -> Self {
         Self {
             service: wire.service.as_str().into(),
-            // A number that is none counts as no demand.
-            per_second: wire.per_second.max(0.0),
+            per_second: finite_or_zero(wire.per_second).max(0.0),
         }
     }
 }
@@ -228,7 +227,7 @@
         Self {
             service: wire.service.as_str().into(),
             share: EntryShare {
-                fraction: wire.fraction,
+                fraction: finite_or_zero(wire.fraction).clamp(0.0, 1.0),
                 entries: wire.entries.max(1),
                 position: wire.position,
             },
@@ -236,6 +235,11 @@
     }
 }
 
+/// Replaces a number that cannot be calculated with by the smallest demand or share.
+fn finite_or_zero(number: f64) -> f64 {
+    if number.is_finite() { number } else { 0.0 }
+}
+
 impl From<&LimitNote> for LimitNoteWire {
     fn from(note: &LimitNote) -> Self {
         Self {
