Rate limits: invalid notes are logged, and what stood twice stands once

A leader counted invalid notes of an entry and dropped the count; it logs them now, as entries do, by the same function. A sent retry is recorded where requests are sent and not at both callers. The gauges of runners are set in the loop that sets those of requests, instead of in two more. A conversion that nothing used is gone, and the weights of shares are written without a sum that cancels.

--- a/crates/core/src/gateway/demand_table.rs
+++ b/crates/core/src/gateway/demand_table.rs
@@ -109,9 +109,8 @@
             }
         }
         let least = (total / f64::from(entries)) * MIN_DEMAND_SHARE;
-        let weights = total + least * f64::from(entries);
-        let fraction = match weights > 0.0 {
-            true => (own.per_second + least) / weights,
+        let fraction = match total > 0.0 {
+            true => (own.per_second + least) / (total * (1.0 + MIN_DEMAND_SHARE)),
             false => 1.0 / f64::from(entries),
         };
         EntryShare {
--- a/crates/core/src/gateway/rate_limit.rs
+++ b/crates/core/src/gateway/rate_limit.rs
@@ -28,9 +28,3 @@
     /// The response names a limit that is no valid number, so it says nothing.
     Unreadable,
 }
-
-impl From<Option<RateLimit>> for LimitNotice {
-    fn from(limit: Option<RateLimit>) -> Self {
-        limit.map_or(Self::Unlimited, Self::Limited)
-    }
-}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -158,7 +158,7 @@
 
 impl AttemptResult {
     /// Returns whether the request reached the runner, or may have.
-    pub(crate) fn was_sent(&self) -> bool {
+    fn was_sent(&self) -> bool {
         match self {
             Self::Buffered(_) | Self::Stream(_) => true,
             Self::Failed(failed) => failed.outcome != AttemptOutcome::NotSent,
@@ -205,6 +205,19 @@
 /// Sends the request to the slot's runner and waits for a complete response, or for
 /// the first event of a stream after `last_event`.
 pub(crate) async fn send(
+    exchange: &Exchange,
+    attempts: &mut RequestAttempts,
+    slot: RunnerSlot,
+    last_event: Option<u64>,
+) -> AttemptResult {
+    let result = send_to_runner(exchange, attempts, slot, last_event).await;
+    if result.was_sent() {
+        attempts.retry.record_sent();
+    }
+    result
+}
+
+async fn send_to_runner(
     exchange: &Exchange,
     attempts: &RequestAttempts,
     mut slot: RunnerSlot,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -307,9 +307,6 @@
         let last_event = exchange.caller.last_event_id;
         let result = attempt::send(exchange, attempts, slot, last_event).await;
         attempts.is_in_flight = false;
-        if result.was_sent() {
-            attempts.retry.record_sent();
-        }
         let failed = match result {
             AttemptResult::Buffered(response) => return exchange.forward(response, &runner),
             AttemptResult::Stream(stream) => {
--- a/src/gateway/load_reports.rs
+++ b/src/gateway/load_reports.rs
@@ -16,13 +16,13 @@
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::collections::HashMap;
 use wisteriawick_core::gateway::GroupReport;
-use wisteriawick_core::gateway::LimitNote;
 use wisteriawick_core::gateway::LoadReport;
 use wisteriawick_core::gateway::ServiceShare;
 use wisteriawick_core::ids::ServiceId;
 
 use crate::eventlog::EventCategory;
 use crate::gateway::state::GatewayState;
+use crate::rank::limit_board::limit_notes;
 use crate::rank::link::Link;
 use crate::rank::link::from_wire;
 use crate::rank::link::send_notes;
@@ -166,16 +166,7 @@
 /// Takes in what a leader tells of rate limits.
 fn learn_limits(state: &GatewayState, group: &str, limits: GroupLimitsWire) {
     let shares = limits.shares.into_iter().map(ServiceShare::from).collect();
-    let mut notes = Vec::with_capacity(limits.notes.len());
-    for note in limits.notes {
-        match LimitNote::try_from(note) {
-            Ok(note) => notes.push(note),
-            Err(e) => {
-                let fields = json!({"group": group, "problem": e.to_string()});
-                state.log.line(EventCategory::Failure, "unreadable", fields);
-            }
-        }
-    }
+    let notes = limit_notes(limits.notes, &state.log);
     state.learn_limits(group, shares, &notes);
 }
 
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -2,7 +2,6 @@
 
 use std::time::Instant;
 
-use metrics::gauge;
 use serde_json::json;
 use wisteriawick_core::gateway::EntryShare;
 use wisteriawick_core::gateway::LimitChange;
@@ -16,7 +15,6 @@
 
 use crate::eventlog::EventCategory;
 use crate::gateway::state::GatewayState;
-use crate::telemetry;
 
 /// Most notes in one report to a leader.
 const MAX_REPORTED_NOTES: usize = 512;
@@ -109,15 +107,6 @@
         report
     }
 
-    /// Sets the gauges that show how many runners have limits.
-    pub(crate) fn report_limits(&self) {
-        self.for_each_service(|service, service_state| {
-            let label = service.as_str().to_string();
-            let limited = service_state.pool.limited_count();
-            gauge!(telemetry::LIMITED_RUNNERS, "service" => label).set(limited as f64);
-        });
-    }
-
     fn log_limit(&self, change: &LimitChange, source: &str) {
         let mut fields = self.positions.log_fields(&change.runner);
         fields["per_second"] = json!(change.limit.map(RateLimit::per_second));
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -264,11 +264,7 @@
                 }
             };
             runner = slot.runner().clone();
-            let result = attempt::send(&self.exchange, &self.attempts, slot, last).await;
-            if result.was_sent() {
-                self.attempts.retry.record_sent();
-            }
-            match result {
+            match attempt::send(&self.exchange, &mut self.attempts, slot, last).await {
                 AttemptResult::Stream(stream) => {
                     let fields = json!({"after": last});
                     self.exchange
--- a/src/gateway/rests.rs
+++ b/src/gateway/rests.rs
@@ -1,7 +1,6 @@
 //! Runners that want no request for a time, or none any more, as their responses say.
 
 use metrics::counter;
-use metrics::gauge;
 use wisteriawick_core::gateway::RestNotice;
 use wisteriawick_core::hosting::ListedRunner;
 use wisteriawick_core::ids::ServiceId;
@@ -51,14 +50,4 @@
         self.log
             .line(EventCategory::State, "runner_leaving", fields);
     }
-
-    /// Sets the gauges that show how many runners rest.
-    pub(crate) fn report_rests(&self) {
-        let now = self.now();
-        self.for_each_service(|service, service_state| {
-            let label = service.as_str().to_string();
-            let resting = service_state.pool.resting_count(now);
-            gauge!(telemetry::RESTING_RUNNERS, "service" => label).set(resting as f64);
-        });
-    }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -479,7 +479,11 @@
             let (in_flight, waiting) = service_state.pool.request_counts();
             let label = service.as_str().to_string();
             gauge!(telemetry::IN_FLIGHT_REQUESTS, "service" => label.clone()).set(in_flight);
-            gauge!(telemetry::WAITING_REQUESTS, "service" => label).set(waiting as f64);
+            gauge!(telemetry::WAITING_REQUESTS, "service" => label.clone()).set(waiting as f64);
+            let limited = service_state.pool.limited_count();
+            gauge!(telemetry::LIMITED_RUNNERS, "service" => label.clone()).set(limited as f64);
+            let resting = service_state.pool.resting_count(now);
+            gauge!(telemetry::RESTING_RUNNERS, "service" => label).set(resting as f64);
             if service_state.waiters.is_empty() {
                 continue;
             }
@@ -559,8 +563,6 @@
             state.refresh_services();
         }
         state.refresh_shares();
-        state.report_limits();
-        state.report_rests();
         state.report_gauges();
         state.log_breaks();
         state.dispatch_all();
--- a/src/rank.rs
+++ b/src/rank.rs
@@ -9,7 +9,7 @@
 mod counts;
 mod hold_resolver;
 mod leader;
-mod limit_board;
+pub(crate) mod limit_board;
 pub(crate) mod link;
 mod member;
 mod order;
@@ -70,7 +70,7 @@
         runners: runners_tx,
         entries: Arc::default(),
         crashes: CrashBoard::new(Arc::clone(&clock)),
-        limits: LimitBoard::new(Arc::clone(&clock)),
+        limits: LimitBoard::new(Arc::clone(&clock), log.clone()),
     };
     tokio::spawn(link::serve(listener, handle.clone(), group, ended.clone()));
     let resolver = HoldResolver::new(Arc::clone(&clock), log.clone(), handle.clone(), runners);
--- a/src/rank/limit_board.rs
+++ b/src/rank/limit_board.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 
+use serde_json::json;
 use tokio::sync::watch;
 use wisteriawick_core::gateway::DemandTable;
 use wisteriawick_core::gateway::EntryId;
@@ -13,8 +14,11 @@
 use wisteriawick_core::gateway::ServiceDemand;
 use wisteriawick_core::time::SharedClock;
 
+use crate::eventlog::EventCategory;
+use crate::eventlog::EventLog;
 use crate::rank::wire::EntryLimitsWire;
 use crate::rank::wire::GroupLimitsWire;
+use crate::rank::wire::LimitNoteWire;
 
 #[derive(Debug, Default)]
 struct State {
@@ -26,15 +30,17 @@
 #[derive(Clone, Debug)]
 pub(crate) struct LimitBoard {
     clock: SharedClock,
+    log: EventLog,
     state: Arc<Mutex<State>>,
     /// Number of changes of rate limits so far.
     version: watch::Sender<u64>,
 }
 
 impl LimitBoard {
-    pub(crate) fn new(clock: SharedClock) -> Self {
+    pub(crate) fn new(clock: SharedClock, log: EventLog) -> Self {
         Self {
             clock,
+            log,
             state: Arc::default(),
             version: watch::Sender::new(0),
         }
@@ -64,16 +70,11 @@
 }
 
 impl LimitLink {
-    /// Takes in what the entry reported; returns how many of its notes were invalid.
-    pub(crate) fn report(&self, report: EntryLimitsWire) -> usize {
+    /// Takes in what the entry reported; invalid notes are logged and ignored.
+    pub(crate) fn report(&self, report: EntryLimitsWire) {
         let now = self.board.clock.now();
         let demands = report.demands.into_iter().map(ServiceDemand::from);
-        let sent = report.notes.len();
-        let notes: Vec<LimitNote> = report
-            .notes
-            .into_iter()
-            .filter_map(|note| note.try_into().ok())
-            .collect();
+        let notes = limit_notes(report.notes, &self.board.log);
         let mut state = self.board.lock();
         state.demands.report(self.entry, demands.collect());
         let mut is_news = false;
@@ -84,7 +85,6 @@
         if is_news {
             self.board.version.send_modify(|version| *version += 1);
         }
-        sent - notes.len()
     }
 
     /// Returns what the entry is to be told.
@@ -109,6 +109,19 @@
     }
 }
 
+/// Decodes notes about rate limits; invalid ones are logged and left out.
+pub(crate) fn limit_notes(notes: Vec<LimitNoteWire>, log: &EventLog) -> Vec<LimitNote> {
+    let decode = |note: LimitNoteWire| match LimitNote::try_from(note) {
+        Ok(note) => Some(note),
+        Err(e) => {
+            let fields = json!({"problem": e.to_string()});
+            log.line(EventCategory::Failure, "unreadable", fields);
+            None
+        }
+    };
+    notes.into_iter().filter_map(decode).collect()
+}
+
 impl Drop for LimitLink {
     fn drop(&mut self) {
         let now = self.board.clock.now();
