--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -19,6 +19,8 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -382,7 +384,9 @@
 impl Program {
     /// Starts a role as `deploy/system.toml` does.
     pub fn start(role: &str, metrics_port: &str, settings: &str, log: &str) -> Self {
-        let name = format!("review-{role}-{}.toml", std::process::id());
+        static STARTED: AtomicU32 = AtomicU32::new(0);
+        let number = STARTED.fetch_add(1, Ordering::SeqCst);
+        let name = format!("review-{role}-{}-{number}.toml", std::process::id());
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, settings).expect("the settings file is written");
         let out = File::create(log).expect("the log can be written");
