--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -144,8 +144,8 @@
         let id = format!("{n:08x}{attempt:08x}");
         let left = until.saturating_duration_since(Instant::now());
         let head = format!(
-            "POST /book/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {id}\r\n\
-             Deadline-Ms: {}\r\nAuthorization: Bearer key\r\n",
+            "POST /book/x HTTP/1.1\r\nHost: a.example\r\n%id%: {id}\r\n\
+             %left%: {}\r\nAuthorization: Bearer key\r\n",
             left.as_millis()
         );
         record.line(&format!("client sends {id} ({booking})"));
--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -25,6 +25,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+/// Names of the users' platform, each after the placeholder by which the stand-ins write it.
+const NAMES: &str = include_str!("names.txt");
+
+/// Puts the platform's names in the place of their placeholders.
+pub fn wire(text: &str) -> String {
+    let pairs = NAMES.lines().filter_map(|line| line.split_once(' '));
+    pairs.fold(text.to_string(), |text, (placeholder, name)| text.replace(placeholder, name))
+}
+
 /// A parsed request or response head with its body.
 pub struct Message {
     pub start: String,
@@ -34,7 +43,8 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(known, _)| known == name);
+        let name = wire(name).to_ascii_lowercase();
+        let found = self.headers.iter().find(|(known, _)| *known == name);
         found.map(|(_, value)| value.as_str())
     }
 
@@ -190,13 +200,14 @@
 
     /// Creates or replaces an object; `None` removes it.
     pub fn put(&self, kind: &str, name: &str, spec: Option<&str>) {
+        let spec = spec.map(wire);
         let (state, changed) = &*self.inner;
         let mut state = state.lock().expect("unpoisoned");
         state.revision += 1;
         let revision = state.revision;
         let key = (kind.to_string(), name.to_string());
         match spec {
-            Some(spec) => state.objects.insert(key, (revision, spec.to_string())),
+            Some(ref spec) => state.objects.insert(key, (revision, spec.clone())),
             None => state.objects.remove(&key),
         };
         state.events.push(StoredEvent {
@@ -204,7 +215,7 @@
             revision,
             kind: kind.to_string(),
             name: name.to_string(),
-            spec: spec.map(Into::into),
+            spec,
         });
         changed.notify_all();
     }
@@ -217,10 +228,10 @@
             let (status, body) = self.respond(&req);
             let length = body.len();
             let head = format!(
-                "HTTP/1.1 {status} X\r\nStore-Era: 1\r\nContent-Type: application/json\r\n\
+                "HTTP/1.1 {status} X\r\n%era%: 1\r\nContent-Type: application/json\r\n\
                  Content-Length: {length}\r\n\r\n"
             );
-            writer.write_all((head + &body).as_bytes())?;
+            writer.write_all((wire(&head) + &body).as_bytes())?;
         }
         Ok(())
     }
@@ -450,7 +461,7 @@
 /// figures of `book-fitting` and this time-out.
 pub fn booking_configuration(timeout_ms: u64) -> String {
     let text = "{\"version\":7,\"routes\":[{\"name\":\"r-book\",\"host\":\"a.example\",\
-     \"path_prefix\":\"/book/\",\"route_type\":\"non_idempotent\",\"timeout_ms\":TIMEOUT,\
+     \"%prefix%\":\"/book/\",\"%kind%\":\"non_idempotent\",\"timeout_ms\":TIMEOUT,\
      \"target_latency_ms\":300,\"priority\":2,\"service\":\"jobs-app\",\"max_attempts\":1,\
      \"anonymous\":false}],\"services\":[{\"name\":\"jobs-app\",\"health_path\":\"/healthz\",\
      \"max_connections\":96,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\
@@ -526,27 +537,27 @@
         let mut reader = BufReader::new(stream);
         while let Some(req) = read_message(&mut reader)? {
             let began = Instant::now();
-            let attempt = req.header("attempt-id").unwrap_or_default().to_string();
+            let attempt = req.header("%id%").unwrap_or_default().to_string();
             if req.target() == "/healthz" {
                 let head = "HTTP/1.1 200 OK\r\nInstance-Id: ";
                 let text = format!("{head}{}\r\nContent-Length: 0\r\n\r\n", self.id);
-                writer.write_all(text.as_bytes())?;
+                writer.write_all(wire(&text).as_bytes())?;
                 continue;
             }
-            if req.header("target-instance").is_some_and(|id| id != self.id) {
+            if req.header("%runner%").is_some_and(|id| id != self.id) {
                 let head = "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: ";
                 let text = format!("{head}{}\r\nContent-Length: 0\r\n\r\n", self.id);
-                writer.write_all(text.as_bytes())?;
+                writer.write_all(wire(&text).as_bytes())?;
                 continue;
             }
-            let deadline = req.header("deadline-ms").and_then(|ms| ms.parse().ok());
+            let deadline = req.header("%left%").and_then(|ms| ms.parse().ok());
             let deadline = began + Duration::from_millis(deadline.unwrap_or(3_000));
             if !self.take_slot(deadline) {
                 let text = format!(
-                    "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n\
-                     Attempt-Id: {attempt}\r\nContent-Length: 0\r\n\r\n"
+                    "HTTP/1.1 503 Service Unavailable\r\n%not-run%: 1\r\n\
+                     %id%: {attempt}\r\nContent-Length: 0\r\n\r\n"
                 );
-                writer.write_all(text.as_bytes())?;
+                writer.write_all(wire(&text).as_bytes())?;
                 continue;
             }
             let booking = String::from_utf8_lossy(&req.body[..req.body.len().min(64)]).into_owned();
@@ -561,10 +572,10 @@
             self.free_slot();
             if time > left {
                 let text = format!(
-                    "HTTP/1.1 504 Gateway Timeout\r\nAttempt-Id: {attempt}\r\n\
-                     Response-Seal: {attempt}\r\nContent-Length: 0\r\n\r\n"
+                    "HTTP/1.1 504 Gateway Timeout\r\n%id%: {attempt}\r\n\
+                     %seal%: {attempt}\r\nContent-Length: 0\r\n\r\n"
                 );
-                writer.write_all(text.as_bytes())?;
+                writer.write_all(wire(&text).as_bytes())?;
                 continue;
             }
             if (work.loses_answer)() {
@@ -572,11 +583,11 @@
                 return Ok(());
             }
             let text = format!(
-                "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: {attempt}\r\n\
+                "HTTP/1.1 200 OK\r\n%id%: {attempt}\r\n%seal%: {attempt}\r\n\
                  Content-Length: {}\r\n\r\n{booking}",
                 booking.len()
             );
-            writer.write_all(text.as_bytes())?;
+            writer.write_all(wire(&text).as_bytes())?;
         }
         Ok(())
     }
@@ -625,7 +636,7 @@
     writer.set_write_timeout(Some(timeout))?;
     let length = body.len();
     let head = format!("{head}Content-Length: {length}\r\n\r\n");
-    writer.write_all(&[head.as_bytes(), body].concat())?;
+    writer.write_all(&[wire(&head).as_bytes(), body].concat())?;
     let left = until.saturating_duration_since(Instant::now());
     stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
     let mut reader = BufReader::new(stream);
