A request that ran and broke before its deadline is not reported as not run

Cause: after an attempt had failed, the request first stopped counting as in flight, then waited up to 60 ms for a probe of the runner, and only then recorded that it may have run. The deadline, or the end of a stop, dropped the future in that wait; what was left said that nothing had been sent.

Change: RequestAttempts keeps an attempt in flight until its outcome is recorded, and both change in one step that waits for nothing: runner, outcome, retry budget and log line. The probe is started there and goes on by itself; only a request that is sent again waits for its result. A request that is not sent again is answered at once instead of up to 60 ms later. Whatever await the future is dropped at, it was either in flight or recorded.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -206,15 +206,19 @@
 
 /// Sends the request to the slot's runner and waits for a complete response, or for
 /// the first event of a stream after `last_event`.
+///
+/// The attempt stays in flight in `attempts` until the caller has recorded a failure
+/// there.
 pub(crate) async fn send(
     exchange: &Exchange,
     attempts: &mut RequestAttempts,
     slot: RunnerSlot,
     last_event: Option<u64>,
 ) -> AttemptResult {
+    attempts.begin();
     let result = send_to_runner(exchange, attempts, slot, last_event).await;
     if result.was_sent() {
-        attempts.retry.record_sent();
+        attempts.record_sent();
     }
     result
 }
@@ -287,9 +291,9 @@
 
 /// Returns whether another runner could take over the request.
 fn may_move(exchange: &Exchange, attempts: &RequestAttempts, runner: &RunnerId) -> bool {
-    let mut excluded = attempts.excluded.clone();
+    let mut excluded = attempts.excluded().to_vec();
     excluded.push(runner.clone());
-    attempts.retry.may_move() && exchange.state.has_room_except(&exchange.service, &excluded)
+    attempts.retry().may_move() && exchange.state.has_room_except(&exchange.service, &excluded)
 }
 
 /// Returns how long to wait for this attempt before the request is retried at
--- a/src/gateway/crash_probe.rs
+++ b/src/gateway/crash_probe.rs
@@ -34,12 +34,18 @@
     running: Mutex<HashMap<RunnerId, watch::Receiver<()>>>,
 }
 
-/// Probes a runner and records the result; returns once it is known, or after
-/// [`RESULT_TIMEOUT`], while the probe goes on.
-pub(crate) async fn probe_runner(state: &Arc<GatewayState>, runner: &ListedRunner) {
-    let mut done = {
+/// A probe of a runner, which records its result whether or not anybody waits for it.
+#[derive(Debug)]
+pub(crate) struct RunningProbe {
+    /// Closes with the probe; no value is ever sent.
+    done: watch::Receiver<()>,
+}
+
+impl RunningProbe {
+    /// Probes a runner, unless that is under way already.
+    pub(crate) fn start(state: &Arc<GatewayState>, runner: &ListedRunner) -> Self {
         let mut running = lock(&state.crash_probes.running);
-        match running.get(&runner.id) {
+        let done = match running.get(&runner.id) {
             Some(done) => done.clone(),
             None => {
                 let (tx, rx) = watch::channel(());
@@ -47,10 +53,15 @@
                 tokio::spawn(run_probe(Arc::clone(state), runner.clone(), tx));
                 rx
             }
-        }
-    };
-    // The channel closes with the probe, so no value is ever received.
-    let _ = tokio::time::timeout(RESULT_TIMEOUT, done.changed()).await;
+        };
+        Self { done }
+    }
+
+    /// Waits until the result is recorded, or for [`RESULT_TIMEOUT`].
+    pub(crate) async fn wait(mut self) {
+        // An error means that the probe has ended.
+        let _ = tokio::time::timeout(RESULT_TIMEOUT, self.done.changed()).await;
+    }
 }
 
 async fn run_probe(state: Arc<GatewayState>, runner: ListedRunner, _done: watch::Sender<()>) {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,6 +3,7 @@
 //! The request is matched to a route and assigned to runners until one of them
 //! responds, a failure rules out a retry, or the deadline is over.
 
+mod attempts;
 mod record;
 mod replies;
 
@@ -29,12 +30,10 @@
 use wisteriawick_core::gateway::Denied;
 use wisteriawick_core::gateway::NextStep;
 use wisteriawick_core::gateway::RejectReason;
-use wisteriawick_core::gateway::RetryState;
 use wisteriawick_core::gateway::RouteMatch;
 use wisteriawick_core::gateway::StopSchedule;
 use wisteriawick_core::hosting::ListedRunner;
 use wisteriawick_core::ids::Fingerprint;
-use wisteriawick_core::ids::RunnerId;
 use wisteriawick_core::ids::ServiceId;
 use wisteriawick_platform::CallerRequest;
 
@@ -42,7 +41,8 @@
 use crate::gateway::attempt;
 use crate::gateway::attempt::AttemptResult;
 use crate::gateway::attempt::FailedAttempt;
-use crate::gateway::crash_probe::probe_runner;
+use crate::gateway::crash_probe::RunningProbe;
+pub(crate) use crate::gateway::exchange::attempts::RequestAttempts;
 use crate::gateway::relay;
 use crate::gateway::response::Body;
 use crate::gateway::response::local_reply;
@@ -123,15 +123,6 @@
     }
 }
 
-/// The attempts of a request so far.
-pub(crate) struct RequestAttempts {
-    pub(crate) retry: RetryState,
-    /// Runners that already had an attempt.
-    pub(crate) excluded: Vec<RunnerId>,
-    /// Whether an attempt is in flight, so that the request may have been executed.
-    pub(crate) is_in_flight: bool,
-}
-
 /// Serves one request.
 pub(crate) async fn serve(
     state: Arc<GatewayState>,
@@ -275,18 +266,10 @@
     state.with_service(&exchange.service, |service_state| {
         service_state.budget.record_request(now)
     });
-    let route = &exchange.route_match.route;
-    let retry = RetryState::new(route.may_run_again(), route.max_attempts, exchange.deadline);
-    let mut attempts = RequestAttempts {
-        retry,
-        excluded: Vec::new(),
-        is_in_flight: false,
-    };
+    let mut attempts = RequestAttempts::new(Arc::clone(&exchange));
     let responding = attempt_until_response(&exchange, &mut attempts);
     let outcome = unless_due(state, exchange.deadline, responding).await;
-    if !attempts.is_in_flight {
-        exchange.refund_retry(&mut attempts.retry);
-    }
+    attempts.refund_retry();
     match outcome {
         Ok(res) => res,
         Err(due) => exchange.respond_due(&attempts, due),
@@ -303,23 +286,26 @@
             Err(no_slot) => return exchange.respond_without_slot(attempts, no_slot),
         };
         let runner = slot.runner().clone();
-        attempts.is_in_flight = true;
         let last_event = exchange.caller.last_event_id;
-        let result = attempt::send(exchange, attempts, slot, last_event).await;
-        attempts.is_in_flight = false;
-        let failed = match result {
+        let failed = match attempt::send(exchange, attempts, slot, last_event).await {
             AttemptResult::Buffered(response) => return exchange.forward(response, &runner),
             AttemptResult::Stream(stream) => {
-                return relay::stream_response(Arc::clone(exchange), attempts.retry, *stream);
+                return relay::stream_response(attempts.to_stream(), *stream);
             }
             AttemptResult::Failed(failed) => failed,
         };
-        exchange.record_failure(&runner, &failed).await;
+        let probe = exchange.record_failure(&runner, &failed);
+        let step = attempts.fail(&runner, &failed);
         if let Some(block) = failed.block {
             return exchange.respond_without_slot(attempts, NoSlot::Blocked(block));
         }
-        match next_step(exchange, attempts, &runner, &failed) {
-            NextStep::Again => {}
+        match step {
+            // If the runner crashed, the next attempt must take that into account.
+            NextStep::Again => {
+                if let Some(probe) = probe {
+                    probe.wait().await;
+                }
+            }
             NextStep::PassOn => {
                 if let Some(error_response) = failed.error_response {
                     return exchange.forward(*error_response, &runner);
@@ -334,49 +320,6 @@
     }
 }
 
-/// Records a failed attempt and returns what to do next.
-pub(crate) fn next_step(
-    exchange: &Exchange,
-    attempts: &mut RequestAttempts,
-    runner: &ListedRunner,
-    failed: &FailedAttempt,
-) -> NextStep {
-    let state = &exchange.state;
-    let now = state.now();
-    if !failed.is_withheld {
-        attempts.excluded.push(runner.id.clone());
-    }
-    let spend = || {
-        state
-            .with_service(&exchange.service, |service_state| {
-                service_state.budget.try_retry(now)
-            })
-            .unwrap_or(false)
-    };
-    let step = attempts.retry.next_step(now, failed.outcome, spend);
-    let outcome = match failed.outcome {
-        AttemptOutcome::NotSent => "not sent",
-        AttemptOutcome::NotRun => "not run",
-        AttemptOutcome::Failed => "failed",
-        AttemptOutcome::Unknown => "unknown",
-    };
-    counter!(telemetry::FAILED_ATTEMPTS, "outcome" => outcome).increment(1);
-    exchange.log_at(
-        EventCategory::Failure,
-        "attempt_ended",
-        runner,
-        json!({
-            "outcome": format!("{:?}", failed.outcome),
-            "detail": failed.detail,
-            "next": format!("{step:?}"),
-            "limit": attempts.retry.limit.map(|limit| limit.to_string()),
-            "reached": attempts.retry.reached,
-            "has": failed.connection_broke.then(|| exchange.suspect_names()),
-        }),
-    );
-    step
-}
-
 impl Exchange {
     /// Returns how long requests of this kind take, as far as this entry has seen.
     pub(crate) fn expected_time(&self) -> Duration {
@@ -484,15 +427,6 @@
         Ok(*trial)
     }
 
-    /// Gives a retry back to the budget that was taken from it and reached no runner.
-    pub(crate) fn refund_retry(&self, retry: &mut RetryState) {
-        if retry.take_unused_retry() {
-            self.state.with_service(&self.service, |service_state| {
-                service_state.budget.refund_retry();
-            });
-        }
-    }
-
     /// Records that a runner executed the request without crashing.
     pub(crate) fn record_sound(&self) {
         self.state
@@ -500,21 +434,25 @@
             .update(|tracker, now| tracker.clear(now, &self.suspects));
     }
 
-    /// Records an attempt that failed at a runner. If its connection broke, waits for a
-    /// moment to learn whether the runner crashed.
-    pub(crate) async fn record_failure(&self, runner: &ListedRunner, failed: &FailedAttempt) {
+    /// Records what a failed attempt tells of its runner. If its connection broke, and it
+    /// is not known yet whether the runner crashed, returns the probe that finds out.
+    ///
+    /// This waits for nothing, so that the record is whole when the request is dropped.
+    pub(crate) fn record_failure(
+        &self,
+        runner: &ListedRunner,
+        failed: &FailedAttempt,
+    ) -> Option<RunningProbe> {
         if failed.outcome == AttemptOutcome::Unknown {
             self.state.record_break(runner, &self.suspects);
         }
         if !failed.connection_broke {
-            return;
+            return None;
         }
         let has_crashed = self.state.crashes.update(|tracker, now| {
             tracker.record_broken_attempt(now, &self.suspects, runner.id.clone())
         });
-        if !has_crashed {
-            probe_runner(&self.state, runner).await;
-        }
+        (!has_crashed).then(|| RunningProbe::start(&self.state, runner))
     }
 
     /// Returns the time since the request arrived.
--- a/src/gateway/exchange/record.rs
+++ b/src/gateway/exchange/record.rs
@@ -5,10 +5,14 @@
 use metrics::counter;
 use metrics::histogram;
 use serde_json::json;
+use wisteriawick_core::gateway::AttemptOutcome;
+use wisteriawick_core::gateway::NextStep;
+use wisteriawick_core::gateway::RetryState;
 use wisteriawick_core::hosting::ListedRunner;
 
 use crate::eventlog::EventCategory;
 use crate::eventlog::EventLog;
+use crate::gateway::attempt::FailedAttempt;
 use crate::gateway::exchange::Exchange;
 use crate::gateway::state::lock;
 use crate::telemetry;
@@ -48,6 +52,36 @@
         category != EventCategory::Routine || EventLog::is_sampled(&self.caller.id)
     }
 
+    /// Logs and counts how an attempt failed and what follows.
+    pub(super) fn log_attempt_ended(
+        &self,
+        retry: &RetryState,
+        runner: &ListedRunner,
+        failed: &FailedAttempt,
+        step: NextStep,
+    ) {
+        let outcome = match failed.outcome {
+            AttemptOutcome::NotSent => "not sent",
+            AttemptOutcome::NotRun => "not run",
+            AttemptOutcome::Failed => "failed",
+            AttemptOutcome::Unknown => "unknown",
+        };
+        counter!(telemetry::FAILED_ATTEMPTS, "outcome" => outcome).increment(1);
+        self.log_at(
+            EventCategory::Failure,
+            "attempt_ended",
+            runner,
+            json!({
+                "outcome": format!("{:?}", failed.outcome),
+                "detail": failed.detail,
+                "next": format!("{step:?}"),
+                "limit": retry.limit.map(|limit| limit.to_string()),
+                "reached": retry.reached,
+                "has": failed.connection_broke.then(|| self.suspect_names()),
+            }),
+        );
+    }
+
     /// Logs that the request is cut off because the process ends.
     pub(crate) fn log_cut_off(&self, fields: serde_json::Value) {
         let mut line = json!({
--- a/src/gateway/exchange/replies.rs
+++ b/src/gateway/exchange/replies.rs
@@ -69,7 +69,7 @@
                 retry_after,
                 reason,
             } => self.reject(attempts, retry_after, reason),
-            NoSlot::Blocked(_) if attempts.retry.may_have_run => self.respond_unknown(),
+            NoSlot::Blocked(_) if attempts.may_have_run() => self.respond_unknown(),
             NoSlot::Blocked(block) => self.refuse_blocked(block),
         }
     }
@@ -101,7 +101,7 @@
     /// Responds when the caller waits no longer or the process ends, depending on
     /// whether the request may have been executed.
     pub(super) fn respond_due(&self, attempts: &RequestAttempts, due: Due) -> Response<Body> {
-        if attempts.is_in_flight || attempts.retry.may_have_run {
+        if attempts.may_have_run() {
             match due {
                 Due::Deadline => {
                     self.record_times(self.age(), Duration::ZERO);
@@ -131,7 +131,7 @@
         retry_after: Duration,
         reason: RejectReason,
     ) -> Response<Body> {
-        if attempts.retry.may_have_run {
+        if attempts.may_have_run() {
             return self.respond_unknown();
         }
         self.count_outcome("refused");
@@ -139,7 +139,7 @@
             service_state.pool.request_counts()
         });
         let (in_flight, waiting) = counts.unwrap_or_default();
-        let limit = attempts.retry.limit.map(|limit| limit.to_string());
+        let limit = attempts.retry().limit.map(|limit| limit.to_string());
         self.log(
             EventCategory::Failure,
             "refused",
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -16,7 +16,6 @@
 use serde_json::json;
 use wisteriawick_core::gateway::LateCause;
 use wisteriawick_core::gateway::RetryPolicy;
-use wisteriawick_core::gateway::RetryState;
 use wisteriawick_core::gateway::RunnerOutcome;
 use wisteriawick_core::gateway::StreamLatency;
 use wisteriawick_core::hosting::ListedRunner;
@@ -31,7 +30,6 @@
 use crate::gateway::break_off::BreakReason;
 use crate::gateway::exchange::Exchange;
 use crate::gateway::exchange::RequestAttempts;
-use crate::gateway::exchange::next_step;
 use crate::gateway::response::Body;
 use crate::gateway::response::response;
 use crate::gateway::runner_slot::RunnerSlot;
@@ -65,11 +63,8 @@
 }
 
 /// Returns the response that forwards a stream.
-pub(crate) fn stream_response(
-    exchange: Arc<Exchange>,
-    retry: RetryState,
-    stream: OpenStream,
-) -> Response<Body> {
+pub(crate) fn stream_response(attempts: RequestAttempts, stream: OpenStream) -> Response<Body> {
+    let exchange = Arc::clone(attempts.exchange());
     let runner = stream.source.slot.runner();
     exchange.log_at(EventCategory::Routine, "stream_began", runner, json!({}));
     exchange.record_latency();
@@ -77,11 +72,7 @@
     let latency = StreamLatency::new(exchange.arrived, route.latency_target, route.max_event_gap);
     let relay = StreamRelay {
         exchange,
-        attempts: RequestAttempts {
-            retry,
-            excluded: Vec::new(),
-            is_in_flight: true,
-        },
+        attempts,
         source: Some(stream.source),
         event_count: 0,
         latency,
@@ -251,11 +242,10 @@
         drop(source);
         let mut failed = FailedAttempt::from(error);
         loop {
-            self.exchange.record_failure(&runner, &failed).await;
             let slot = match self.slot_after(&runner, &failed, last).await {
                 Ok(slot) => slot,
                 Err(reason) => {
-                    self.exchange.refund_retry(&mut self.attempts.retry);
+                    self.attempts.refund_retry();
                     return Err(BrokenStream {
                         runner,
                         detail: failed.detail,
@@ -285,7 +275,7 @@
         }
     }
 
-    /// Returns a slot at another runner after an attempt that failed.
+    /// Records an attempt that failed and returns a slot at another runner.
     ///
     /// # Errors
     ///
@@ -296,19 +286,23 @@
         failed: &FailedAttempt,
         last: Option<u64>,
     ) -> Result<RunnerSlot, BreakReason> {
+        let probe = self.exchange.record_failure(runner, failed);
         if self.exchange.route_match.route.retry_policy != RetryPolicy::Resume {
             return Err(BreakReason::RouteNeverResumes);
         }
         if last.is_none() {
             return Err(BreakReason::NoEventYet);
         }
-        next_step(&self.exchange, &mut self.attempts, runner, failed);
-        if let Some(limit) = self.attempts.retry.limit {
+        self.attempts.fail(runner, failed);
+        if let Some(limit) = self.attempts.retry().limit {
             return Err(BreakReason::Limit(limit));
         }
         if let Some(block) = failed.block {
             return Err(BreakReason::Blocked(block));
         }
+        if let Some(probe) = probe {
+            probe.wait().await;
+        }
         let slot_use = SlotUse::Resume {
             last_event_at: self.latency.last_at(),
         };
--- a/src/gateway/slot_request.rs
+++ b/src/gateway/slot_request.rs
@@ -67,7 +67,7 @@
         priority: exchange.route_match.priority(),
         response_due: exchange.arrived + exchange.route_match.route.latency_target,
         deadline: latest_start,
-        excluded: attempts.excluded.clone(),
+        excluded: attempts.excluded().to_vec(),
     };
     let admission = match state.admit(&exchange.service, request) {
         None => return Err(NoSlot::NOT_IN_TIME),
