A retry that was not sent is given back whoever ends its request

Callers saw: after callers had left while their retries waited for a runner, requests of others were refused or answered 502, and streams broken off, with "no retry budget left".

A retry is taken from the budget when an attempt fails, and was given back by statements behind the wait for the next runner. A caller that leaves drops the future in that wait; so does the deadline or the stop of a stream that is being resumed.

Evidence: two new tests let the callers of five bursts leave while their retries wait at a full runner, and then expect that the requests of callers who stay are retried. On both failed (502 in place of 200, a stream broken off).

Change: RequestAttempts gives the retry back when it is dropped, unless an attempt that may have used it is in flight.

Measured: both tests pass.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -268,9 +268,7 @@
     });
     let mut attempts = RequestAttempts::new(Arc::clone(&exchange));
     let responding = attempt_until_response(&exchange, &mut attempts);
-    let outcome = unless_due(state, exchange.deadline, responding).await;
-    attempts.refund_retry();
-    match outcome {
+    match unless_due(state, exchange.deadline, responding).await {
         Ok(res) => res,
         Err(due) => exchange.respond_due(&attempts, due),
     }
--- a/src/gateway/exchange/attempts.rs
+++ b/src/gateway/exchange/attempts.rs
@@ -16,6 +16,9 @@
 use crate::gateway::exchange::Exchange;
 
 /// The attempts of a request so far.
+///
+/// Dropping it gives a retry back to the budget that was taken from it and reached no
+/// runner.
 pub(crate) struct RequestAttempts {
     exchange: Arc<Exchange>,
     retry: RetryState,
@@ -98,9 +101,10 @@
             .log_attempt_ended(&self.retry, runner, failed, step);
         step
     }
+}
 
-    /// Gives a retry back to the budget that was taken from it and reached no runner.
-    pub(crate) fn refund_retry(&mut self) {
+impl Drop for RequestAttempts {
+    fn drop(&mut self) {
         // An attempt in flight may have used the retry.
         if !self.is_in_flight && self.retry.take_unused_retry() {
             self.exchange
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -245,7 +245,6 @@
             let slot = match self.slot_after(&runner, &failed, last).await {
                 Ok(slot) => slot,
                 Err(reason) => {
-                    self.attempts.refund_retry();
                     return Err(BrokenStream {
                         runner,
                         detail: failed.detail,
