A result that is there at the deadline or at the end of a stop is delivered

Cause: the wait chose at random among what is ready, and dropped the future that had the result.

Evidence: two unit tests with a result and a passed deadline, or a required response, 64 times each; both failed with the choice at random (Err(Deadline), Err(Stop)).

Change: the wait is a method of Stop and prefers the result.

Measured: both tests pass.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -208,7 +208,7 @@
     deadline: Instant,
 ) -> Result<Bytes, StatusCode> {
     let collected = Limited::new(body, limit).collect();
-    match unless_due(state, deadline, collected).await {
+    match state.stop.unless_due(deadline, collected).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
             Err(StatusCode::PAYLOAD_TOO_LARGE)
@@ -218,28 +218,6 @@
     }
 }
 
-/// Why a request must be answered before its work is done.
-#[derive(Clone, Copy, Debug)]
-enum Due {
-    /// The caller waits no longer.
-    Deadline,
-    /// The process ends.
-    Stop,
-}
-
-/// Waits for an operation of a request until the request must be answered.
-async fn unless_due<T>(
-    state: &GatewayState,
-    deadline: Instant,
-    operation: impl Future<Output = T>,
-) -> Result<T, Due> {
-    tokio::select! {
-        done = operation => Ok(done),
-        () = tokio::time::sleep_until(deadline.into()) => Err(Due::Deadline),
-        () = state.stop.wait_until_responses_due() => Err(Due::Stop),
-    }
-}
-
 /// Returns a digest of path, workspace and body, which a caller's retry has too.
 fn fingerprint(head: &Parts, body: &[u8], route_match: &RouteMatch) -> Fingerprint {
     let mut hasher = blake3::Hasher::new();
@@ -268,7 +246,7 @@
     });
     let mut attempts = RequestAttempts::new(Arc::clone(&exchange));
     let responding = attempt_until_response(&exchange, &mut attempts);
-    match unless_due(state, exchange.deadline, responding).await {
+    match state.stop.unless_due(exchange.deadline, responding).await {
         Ok(res) => res,
         Err(due) => exchange.respond_due(&attempts, due),
     }
--- a/src/gateway/exchange/replies.rs
+++ b/src/gateway/exchange/replies.rs
@@ -12,7 +12,6 @@
 use crate::eventlog::EventCategory;
 use crate::gateway::attempt::BufferedResponse;
 use crate::gateway::exchange::Block;
-use crate::gateway::exchange::Due;
 use crate::gateway::exchange::Exchange;
 use crate::gateway::exchange::RETRY_AFTER_WAIT;
 use crate::gateway::exchange::RequestAttempts;
@@ -21,6 +20,7 @@
 use crate::gateway::response::local_reply;
 use crate::gateway::response::response;
 use crate::gateway::slot_request::NoSlot;
+use crate::gateway::stop::Due;
 
 impl Exchange {
     /// Responds that this process is stopping and did not take the request.
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -4,10 +4,20 @@
 
 use std::sync::OnceLock;
 use std::time::Duration;
+use std::time::Instant;
 
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::gateway::StopSchedule;
 
+/// Why a request must be answered before its work is done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Due {
+    /// The caller waits no longer.
+    Deadline,
+    /// The process ends.
+    Stop,
+}
+
 /// How far the stop of a gateway has come.
 #[derive(Debug, Default)]
 pub(crate) struct Stop {
@@ -58,4 +68,26 @@
             tokio::time::sleep_until(schedule.latest_start(expected()).into()).await;
         }
     }
+
+    /// Waits for an operation of a request until the request must be answered.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the operation was dropped before its end. One that has a result by
+    /// then is not dropped.
+    pub(crate) async fn unless_due<T>(
+        &self,
+        deadline: Instant,
+        operation: impl Future<Output = T>,
+    ) -> Result<T, Due> {
+        tokio::select! {
+            biased;
+            done = operation => Ok(done),
+            () = tokio::time::sleep_until(deadline.into()) => Err(Due::Deadline),
+            () = self.wait_until_responses_due() => Err(Due::Stop),
+        }
+    }
 }
+
+#[cfg(test)]
+mod tests;
