A slot assigned to a call whose caller has left is released

Callers saw (fleets of our own): less and less of a runner's capacity through one entry, as long as it ran, after callers had left while their calls waited; in the end none.

The router assigns a slot, and the call notes it when it reads that decision. A call whose caller leaves (or whose deadline passes) in between ended without reading it, the router's record of the request was removed, and the slot stayed taken.

Change: a call that ends reads what it was sent before, which gives the slot back; a decision that cannot be delivered is taken back by the router.

--- a/src/entry/call_task.rs
+++ b/src/entry/call_task.rs
@@ -237,6 +237,16 @@
                 }
             }
         }
+        self.give_back(inbox).await;
+    }
+
+    /// Gives back what was granted to the call before it was known that it has ended. A
+    /// slot that the router assigns later, it cannot deliver and takes back itself.
+    async fn give_back(&mut self, mut inbox: mpsc::Receiver<Input>) {
+        inbox.close();
+        while let Some(input) = inbox.recv().await {
+            self.handle(input).await;
+        }
     }
 
     async fn attempt_opened(&mut self, result: Result<FrameReader, LostLink>) {
--- a/src/entry/router_task.rs
+++ b/src/entry/router_task.rs
@@ -324,7 +324,7 @@
         router.handle(now, input, &mut out);
         gauge!(WAITING_REQUESTS, "service" => service.to_string()).set(router.waiting() as f64);
         for output in out {
-            self.execute(output);
+            self.execute(service, output);
         }
     }
 
@@ -336,7 +336,7 @@
         }
     }
 
-    fn execute(&mut self, output: Output) {
+    fn execute(&mut self, service: &ServiceId, output: Output) {
         match output {
             Output::Dispatch {
                 request,
@@ -350,7 +350,10 @@
                     runner,
                     suspect,
                 };
-                self.notify(request, input);
+                if !self.notify(request, input) {
+                    // Nothing was sent, and the slot is free again.
+                    self.ended(service, attempt, AttemptResult::Cancelled);
+                }
             }
             Output::Reject(request, rejection) => self.reject(request, rejection),
             Output::Blocked(fingerprint) => {
@@ -382,16 +385,20 @@
         }
     }
 
-    fn notify(&self, request: RequestId, input: call::Input) {
-        if let Some(call) = self.calls.get(&request) {
-            // This fails only when the call has ended: a call reads its events until then,
-            // and its queue holds more events than the router can send it at a time.
-            if call.events.try_send(input).is_err() {
-                log::debug!(
-                    "a call of workspace {} ended before it received a decision of its router",
-                    call.workspace
-                );
-            }
+    /// Sends a decision to a call; returns whether the call takes it in.
+    fn notify(&self, request: RequestId, input: call::Input) -> bool {
+        let Some(call) = self.calls.get(&request) else {
+            return false;
+        };
+        // This fails only when the call has ended: a call reads its events until then,
+        // and its queue holds more events than the router can send it at a time.
+        let is_delivered = call.events.try_send(input).is_ok();
+        if !is_delivered {
+            log::debug!(
+                "a call of workspace {} ended before it received a decision of its router",
+                call.workspace
+            );
         }
+        is_delivered
     }
 }
