A claim that is granted after its call has ended is released

Callers saw (fleets of our own): a key that no call runs under was reported as in progress, with an unknown outcome, for as long as keys are kept, so the booking could never be made.

While a key's owner changes, a call asks for its claim again every 50 ms. A caller that left in such a pause ended the call, whose release arrived before the claim; the claim was granted to nobody.

Evidence: a new test ends an entry while callers send keyed calls and leave after 40 ms.

Change: a call that has ended releases a claim that is granted then, also if nobody reads the grant any more, and asks for no claim. A release of a claim that is settled or absent changes nothing, so it may come twice.

--- a/crates/core/src/call/core.rs
+++ b/crates/core/src/call/core.rs
@@ -129,6 +129,10 @@
     }
 
     fn ledger(&mut self, reply: LedgerReply, out: &mut Vec<Output>) {
+        if self.state == State::Closed && matches!(reply, LedgerReply::Granted(_)) {
+            // The release that was sent at the end of the call may have come first.
+            out.push(Output::Release);
+        }
         if self.state != State::Claiming {
             return;
         }
--- a/crates/core/src/call/core/tests.rs
+++ b/crates/core/src/call/core/tests.rs
@@ -135,3 +135,22 @@
     assert!(out.contains(&Output::Settle(response)));
     assert!(!out.iter().any(|o| matches!(o, Output::Respond { .. })));
 }
+
+/// Otherwise the key would count as in progress for as long as keys are kept.
+#[test]
+fn claim_that_is_granted_after_the_end_of_the_call_is_released() {
+    let ends = [Input::CallerGone, Input::Deadline];
+    for end in ends {
+        let mut call = Call::new(CallOptions {
+            kind: CallKind::Buffered,
+            keyed: true,
+            retry: RetryRule::IfNotRun,
+        });
+        handle(&mut call, Input::Begin);
+        handle(&mut call, Input::Ledger(LedgerReply::NotOwner));
+        assert!(handle(&mut call, end).contains(&Output::Release));
+        assert!(call.is_closed());
+        let granted = LedgerReply::Granted(Term(1));
+        assert_eq!(handle(&mut call, Input::Ledger(granted)), [Output::Release]);
+    }
+}
--- a/src/entry/call_task.rs
+++ b/src/entry/call_task.rs
@@ -32,6 +32,7 @@
 use wisteriawick_core::ledger::CallKey;
 use wisteriawick_core::ledger::Claim;
 use wisteriawick_core::ledger::ClaimId;
+use wisteriawick_core::ledger::LedgerReply;
 use wisteriawick_core::ledger::RecordedResponse;
 use wisteriawick_core::router::Request;
 use wisteriawick_core::router::RequestId;
@@ -240,8 +241,8 @@
         self.give_back(inbox).await;
     }
 
-    /// Gives back what was granted to the call before it was known that it has ended. A
-    /// slot that the router assigns later, it cannot deliver and takes back itself.
+    /// Gives back what the ledger and the router granted before they knew that the call
+    /// has ended. What they grant later, they cannot deliver, and take back themselves.
     async fn give_back(&mut self, mut inbox: mpsc::Receiver<Input>) {
         inbox.close();
         while let Some(input) = inbox.recv().await {
@@ -393,13 +394,21 @@
             expires_s,
             deadline: self.deadline,
         };
+        let (key, id) = (claim.key, claim.id);
         let ledger = self.context.ledger.clone();
         let events = self.events.clone();
         tokio::spawn(async move {
             tokio::time::sleep(delay).await;
+            if events.is_closed() {
+                return;
+            }
             let reply = ledger.claim(claim).await;
-            // If the call ended in the meantime, it has released its claim.
-            let _ = events.send(Input::Ledger(reply)).await;
+            let is_granted = matches!(reply, LedgerReply::Granted(_));
+            let has_ended = events.send(Input::Ledger(reply)).await.is_err();
+            if has_ended && is_granted {
+                // The call's own release may have come before the claim.
+                ledger.release(key, id).await;
+            }
         });
     }
 
--- a/tests/abandoned_calls.rs
+++ b/tests/abandoned_calls.rs
@@ -1,5 +1,5 @@
-//! Callers that leave at the moment in which their call gets a slot, which a
-//! call that has ended does not keep.
+//! Callers that leave at the moment in which their call gets a slot or a claim. Neither is
+//! held on to by a call that has ended.
 
 mod support;
 
@@ -10,21 +10,29 @@
 use http::StatusCode;
 use serde_json::json;
 use support::Fixture;
+use support::process::instance;
+use support::process::is_ready;
+use support::process::spawn;
 use support::small_fleet;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
+use wisteriawick::command::dev::DEV_OPERATOR_TOKEN;
 use wisteriawick::command::dev::DevFleet;
+use wisteriawick_core::fleet::KeyHash;
+use wisteriawick_standins::address::own_address;
 
 /// Calls that the only runner of the plain service takes at a time.
 const CAPACITY: u32 = 4;
 
-/// Sends a booking and closes the connection after a time.
-async fn send_and_leave(to: SocketAddr, id: String, leaves_after: Duration) {
+/// Sends a booking, with this as its key if there is one, and closes the connection after
+/// a time.
+async fn send_and_leave(to: SocketAddr, id: String, key: Option<&str>, leaves_after: Duration) {
     let mut stream = TcpStream::connect(to).await.expect("accepted");
     let body = json!({ "id": id, "wait_ms": 1 }).to_string();
+    let key = key.map_or(String::new(), |key| format!("idempotency-key: {key}\r\n"));
     let head = format!(
-        "POST /jobs/bookings HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {}\r\n\
+        "POST /jobs/bookings HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {}\r\n{key}\
          content-type: application/json\r\ncontent-length: {}\r\n\r\n",
         DevFleet::api_key(support::WORKSPACE),
         body.len()
@@ -66,7 +74,7 @@
         for n in 0..LEAVING {
             let id = format!("left-{round}-{n}");
             let leaves_after = Duration::from_millis(8) + Duration::from_micros(500) * n;
-            leaving.spawn(send_and_leave(fixture.entry(0), id, leaves_after));
+            leaving.spawn(send_and_leave(fixture.entry(0), id, None, leaves_after));
         }
         leaving.join_all().await;
         for res in support::with_timeout(filling.join_all()).await {
@@ -85,3 +93,60 @@
     );
     fixture.stop();
 }
+
+/// A claim that was granted after its caller had left stayed for as long as keys are kept:
+/// whoever sent the key again was told that the call is in progress.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_claim_that_is_granted_after_its_caller_left_is_released() {
+    /// Calls while the keys of the entry that ends get another owner.
+    const CALLS: usize = 1_200;
+    const CALL_INTERVAL: Duration = Duration::from_millis(2);
+    /// The call at which that entry ends.
+    const ENDS_AT: usize = 200;
+    const LEAVES_AFTER: Duration = Duration::from_millis(40);
+    let mut spec = small_fleet();
+    spec.entries = 1;
+    let mut fixture = Fixture::start(spec).await;
+    let (link, http) = (own_address(), own_address());
+    let section = format!(
+        "[entry]\nhttp_address = \"{http}\"\nops_address = \"{}\"\n\
+         ops_token_hashes = [\"{}\"]\n",
+        own_address(),
+        KeyHash::new(DEV_OPERATOR_TOKEN).to_hex()
+    );
+    let ends = spawn(&fixture, "entry", "entry-9", link, &section);
+    let listed = instance("entry-9", "entry", "", link);
+    fixture.fleet.add_instance(listed);
+    support::with_timeout(async {
+        while !is_ready(&fixture.http, http).await {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    })
+    .await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let entry = fixture.entry(0);
+    let mut ends = Some(ends);
+    let mut leaving = JoinSet::new();
+    for n in 0..CALLS {
+        if n == ENDS_AT {
+            ends = None;
+        }
+        leaving.spawn(async move {
+            let id = format!("key-{n}");
+            send_and_leave(entry, id.clone(), Some(&id), LEAVES_AFTER).await;
+        });
+        tokio::time::sleep(CALL_INTERVAL).await;
+    }
+    assert!(ends.is_none());
+    leaving.join_all().await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let mut held = Vec::new();
+    for n in 0..CALLS {
+        let path = format!("/v1/calls/jobs/key-{n}");
+        if fixture.http.get(entry, &path).await.status == StatusCode::CONFLICT {
+            held.push(n);
+        }
+    }
+    assert_eq!(held, [0; 0], "keys are claimed and no call runs");
+    fixture.stop();
+}
