Interfaces: resources, bounds of optional features, cold starts, delays and sizes of requests

The parts that answer the two new customers' load need what the settings and the declaration already hold and the adapter dropped: memory, descriptors and processor share of a process, the bounds of evacuations and of cold runners, the rate that cold runners bear, delays between data centres, and the tokens that a request brings.

--- a/crates/core/src/gateway/declaration.rs
+++ b/crates/core/src/gateway/declaration.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::collections::HashMap;
+use crate::ids::PlaceId;
 use crate::ids::ServiceId;
 use crate::ids::WorkspaceId;
 
@@ -71,8 +72,16 @@
     /// Additional time of a step per request that generates tokens, in
     /// milliseconds.
     pub decode_ms_per_request: f64,
+    /// Additional time of a step per 1,000 tokens of context of each request that
+    /// generates tokens, in milliseconds.
+    pub decode_ms_per_1k_context: f64,
     /// Prompt tokens processed per millisecond.
     pub prefill_tokens_per_ms: f64,
+    /// Additional time per million pairs of a prompt token and an earlier token, in
+    /// milliseconds.
+    pub prefill_ms_per_1m_pairs: f64,
+    /// Tokens that a runner's memory holds; `None` if that is not stated.
+    pub memory_tokens: Option<u64>,
     /// Maximum number of prompt tokens processed between two steps.
     pub max_prefill_tokens: u32,
     /// Token steps in one pass.
@@ -102,6 +111,26 @@
     pub expert_share: f64,
 }
 
+/// What a service's runners bear while they are cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// How long a runner stays cold after it has started.
+    pub time: Duration,
+    /// Requests per second that a cold runner takes from all entries together.
+    pub per_second: f64,
+}
+
+/// The time that a message takes from one data centre to another, one way.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlaceDelay {
+    /// One of the data centres.
+    pub from: PlaceId,
+    /// The other one.
+    pub to: PlaceId,
+    /// The time, the same in both directions.
+    pub delay: Duration,
+}
+
 /// A service that executes requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceTarget {
@@ -113,6 +142,10 @@
     pub health_path: String,
     /// Engine model, for services that run language models.
     pub engine: Option<EngineModel>,
+    /// What cold runners bear; `None` if the service declares no cold start.
+    pub cold_start: Option<ColdStart>,
+    /// Delays between data centres that the service declares; may be empty.
+    pub delays: Vec<PlaceDelay>,
 }
 
 /// Size and time limits for requests of callers.
--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -41,6 +41,7 @@
 pub use request::QueuedRequest;
 pub use request::QueuedRequestId;
 pub use request::RejectReason;
+pub use request::RequestSize;
 pub use request::RunnerOutcome;
 pub use request::Selection;
 
--- a/crates/core/src/gateway/pool/request.rs
+++ b/crates/core/src/gateway/pool/request.rs
@@ -6,6 +6,7 @@
 
 use crate::hosting::ListedRunner;
 use crate::ids::RunnerId;
+use crate::ids::WorkspaceId;
 
 /// Expected time from sending a request until its response begins: about the
 /// median time to the first event of a stream.
@@ -15,6 +16,18 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct QueuedRequestId(pub u64);
 
+/// The work that a request brings, as its caller states it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RequestSize {
+    /// Tokens of the prompt.
+    pub prompt_tokens: Option<u32>,
+    /// Most tokens of the response.
+    pub max_response_tokens: Option<u32>,
+    /// The caller's estimate of the tokens of the response: right at the median, often far
+    /// off.
+    pub expected_response_tokens: Option<u32>,
+}
+
 /// A request that needs a runner.
 #[derive(Clone, Debug)]
 pub struct QueuedRequest {
@@ -28,6 +41,10 @@
     pub deadline: Instant,
     /// Runners that already had an attempt of this request.
     pub excluded: Vec<RunnerId>,
+    /// The workspace that it belongs to; `None` without a key.
+    pub workspace: Option<WorkspaceId>,
+    /// The work that it brings.
+    pub size: RequestSize,
 }
 
 impl QueuedRequest {
--- a/crates/core/src/hosting.rs
+++ b/crates/core/src/hosting.rs
@@ -40,6 +40,8 @@
     pub store: SocketAddr,
     /// The rate of the machine's network link; `None` if the platform states none.
     pub link_rate: Option<LinkRate>,
+    /// What the machine gives to the process.
+    pub resources: Resources,
     /// Limits that the process must keep.
     pub bounds: Bounds,
 }
@@ -63,6 +65,27 @@
     }
 }
 
+/// What a machine gives to one process; `None` if the platform states nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Resources {
+    /// Most memory that the process may occupy, in bytes. It is killed beyond that.
+    pub memory_bytes: Option<u64>,
+    /// Most descriptors that it may have open.
+    pub max_descriptors: Option<u32>,
+    /// Its share of processor time, in cores.
+    pub cores: Option<f64>,
+}
+
+/// How far requests may exceed the rate that a cold runner bears, in any second and over
+/// all entries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdAllowance {
+    /// Multiple of the rate.
+    pub factor: f64,
+    /// Requests in addition.
+    pub extra: f64,
+}
+
 /// Limits that are the same for all processes of a deployment.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Bounds {
@@ -74,6 +97,11 @@
     pub retry_window: Duration,
     /// Time between the signal to stop and the end of the process.
     pub grace: Duration,
+    /// Time within which the evacuation of a data centre must be in force; `None` where
+    /// operators evacuate none.
+    pub evacuation: Option<Duration>,
+    /// What cold runners bear beyond their rate; `None` where it is not limited.
+    pub cold_allowance: Option<ColdAllowance>,
 }
 
 /// Number of times that the platform's store was restored from an older copy. It
--- a/crates/core/tests/gateway_pool/support.rs
+++ b/crates/core/tests/gateway_pool/support.rs
@@ -11,6 +11,7 @@
 use wisteriawick_core::gateway::PoolLimits;
 use wisteriawick_core::gateway::QueuedRequest;
 use wisteriawick_core::gateway::QueuedRequestId;
+use wisteriawick_core::gateway::RequestSize;
 use wisteriawick_core::hosting::ListedRunner;
 use wisteriawick_core::hosting::ListedState;
 use wisteriawick_core::ids::RunnerId;
@@ -49,6 +50,8 @@
         response_due: now + Duration::from_millis(400),
         deadline: now + Duration::from_secs(2),
         excluded: Vec::new(),
+        workspace: None,
+        size: RequestSize::default(),
     }
 }
 
--- a/crates/faults/src/rate_limits.rs
+++ b/crates/faults/src/rate_limits.rs
@@ -23,6 +23,7 @@
 use wisteriawick_core::gateway::QueuedRequest;
 use wisteriawick_core::gateway::QueuedRequestId;
 use wisteriawick_core::gateway::RateLimit;
+use wisteriawick_core::gateway::RequestSize;
 use wisteriawick_core::gateway::RunnerOutcome;
 use wisteriawick_core::gateway::Selection;
 use wisteriawick_core::gateway::ServiceDemand;
@@ -344,6 +345,8 @@
             response_due: now + Duration::from_millis(400),
             deadline: now + Duration::from_secs(2),
             excluded: Vec::new(),
+            workspace: None,
+            size: RequestSize::default(),
         };
         let entry = &mut self.entries[n];
         if let Admission::Run(selection) = entry.pool.admit(now, request) {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -300,7 +300,7 @@
     /// Returns how long requests of this kind take, as far as this entry has seen.
     pub(crate) fn expected_time(&self) -> Duration {
         let is_streaming = self.route_match.route.is_streaming;
-        let tokens = self.caller.max_response_tokens;
+        let tokens = self.caller.size.max_response_tokens;
         self.state
             .with_service(&self.service, |service_state| {
                 service_state.times(is_streaming).expected(tokens)
@@ -312,7 +312,7 @@
     /// from then to the end.
     pub(crate) fn record_times(&self, first: Duration, rest: Duration) {
         let is_streaming = self.route_match.route.is_streaming;
-        let tokens = self.caller.max_response_tokens;
+        let tokens = self.caller.size.max_response_tokens;
         self.state.with_service(&self.service, |service_state| {
             service_state
                 .times(is_streaming)
--- a/src/gateway/slot_request.rs
+++ b/src/gateway/slot_request.rs
@@ -68,6 +68,12 @@
         response_due: exchange.arrived + exchange.route_match.route.latency_target,
         deadline: latest_start,
         excluded: attempts.excluded().to_vec(),
+        workspace: exchange
+            .route_match
+            .tenancy
+            .as_ref()
+            .map(|tenancy| tenancy.workspace.clone()),
+        size: exchange.caller.size,
     };
     let admission = match state.admit(&exchange.service, request) {
         None => return Err(NoSlot::NOT_IN_TIME),
--- a/src/gateway/state/tests.rs
+++ b/src/gateway/state/tests.rs
@@ -9,6 +9,7 @@
 use wisteriawick_core::collections::HashSet;
 use wisteriawick_core::hosting::Bounds;
 use wisteriawick_core::hosting::HostSettings;
+use wisteriawick_core::hosting::Resources;
 use wisteriawick_core::time::SystemClock;
 
 use super::GatewayState;
@@ -27,11 +28,14 @@
         service: None,
         store: SocketAddr::new(ip, 1),
         link_rate: None,
+        resources: Resources::default(),
         bounds: Bounds {
             retry_budget_ratio: 0.2,
             retry_budget_extra: 88.0,
             retry_window: Duration::from_secs(10),
             grace: Duration::from_secs(8),
+            evacuation: None,
+            cold_allowance: None,
         },
     }
 }
