check: declarations of hosted fleets before they are sent

What operators lacked: a look at a configuration before it is in force. The platform accepts routes that no request can match, limits that contradict each other and keys that two workspaces hold, and nothing showed what a new version changes.

Change: wisteriawick check takes declarations in the platform's form through the adapter, settings and directories of tickets; findings with place and remedy, differences against the version in force, text or JSON, exit status 0, 1 and 2.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -10,6 +10,7 @@
 
 use crate::command;
 use crate::command::OperatorClient;
+use crate::command::check::CheckOptions;
 use crate::command::print_line;
 use crate::command::ticket;
 use crate::command::timeline::TimelineOptions;
@@ -47,12 +48,21 @@
         #[bpaf(argument("PORT"), optional)]
         metrics_port: Option<u16>,
     },
-    /// Checks a settings file
+    /// Checks settings, directories of tickets, and declarations of hosted fleets before
+    /// they are sent
     #[bpaf(command)]
     Check {
-        /// Settings file of a process
-        #[bpaf(positional("FILE"))]
-        file: PathBuf,
+        /// The declaration in force: shows what a checked one changes
+        #[bpaf(argument("FILE"), optional)]
+        against: Option<PathBuf>,
+        /// Settings file of a hosted entry, whose memory the limits must fit
+        #[bpaf(argument("FILE"), optional)]
+        settings: Option<PathBuf>,
+        /// Prints one JSON object a file
+        json: bool,
+        /// Settings file of a process, directory of tickets, or declaration (JSON)
+        #[bpaf(positional("FILE"), some("name a file"))]
+        files: Vec<PathBuf>,
     },
     /// Change tickets
     #[bpaf(command)]
@@ -229,7 +239,19 @@
             config: None,
             metrics_port,
         } => command::hosted::agent(metrics_port).await?,
-        Command::Check { file } => command::check::run(&file)?,
+        Command::Check {
+            against,
+            settings,
+            json,
+            files,
+        } => {
+            let options = CheckOptions {
+                against,
+                settings,
+                json,
+            };
+            return command::check::run(&files, &options);
+        }
         Command::Ticket(command) => return execute_ticket(command).await,
         Command::Status { access, json } => {
             command::status::run(&access.read()?, json).await?;
