check: no error shows a key; moved keys, versions and large files

Found by review: a key of another type than a list was shown in the error, in the check and in the entries' log; files without a length were read without end; a large declaration took seconds, since routes were compared with each other; a key that moves to another workspace was reported as ended; a version that processes ignore was no error; a prefix without its last slash, no attempts and zero weights were said to serve nothing, which they do; one unreadable file ended the check of the others. The fuzz target hardly ever met a declaration that decodes.

Change: errors of decoding name the kind and the place without values; files are read up to 16 MiB; sets and prefixes in place of comparisons; differences of kinds, priorities and limits in words. The target now changes a valid declaration in one to three places and states how many must decode.

--- a/crates/core/src/gateway/declaration_check.rs
+++ b/crates/core/src/gateway/declaration_check.rs
@@ -12,6 +12,7 @@
 mod workspaces;
 
 pub use difference::Difference;
+pub use difference::check_version;
 pub use difference::differences;
 pub use draft::DeclarationDraft;
 pub use draft::WorkspaceDraft;
--- a/crates/core/src/gateway/declaration_check/workspaces.rs
+++ b/crates/core/src/gateway/declaration_check/workspaces.rs
@@ -1,6 +1,7 @@
 //! Checks workspaces and their keys. Keys are secrets, so no finding shows one.
 
 use crate::collections::HashMap;
+use crate::collections::HashSet;
 use crate::gateway::DeclarationDraft;
 use crate::gateway::Finding;
 use crate::ids::WorkspaceId;
@@ -10,10 +11,10 @@
         return;
     };
     let mut holders: HashMap<&str, &WorkspaceId> = HashMap::default();
-    let mut seen: HashMap<&WorkspaceId, ()> = HashMap::default();
+    let mut seen: HashSet<&WorkspaceId> = HashSet::default();
     for workspace in workspaces {
         let place = format!("workspace {}", workspace.id);
-        if seen.insert(&workspace.id, ()).is_some() {
+        if !seen.insert(&workspace.id) {
             let problem = "it is declared twice";
             findings.push(Finding::warning(&place, problem, "join the two"));
         }
--- a/src/command/check.rs
+++ b/src/command/check.rs
@@ -2,6 +2,8 @@
 
 mod declaration;
 
+use std::fs::File;
+use std::io::Read;
 use std::path::Path;
 use std::path::PathBuf;
 
@@ -13,7 +15,7 @@
 use crate::settings::Settings;
 use crate::tls::TlsIdentity;
 
-/// Largest file that is checked, in bytes. The platform keeps less in one object.
+/// Largest file that is checked, in bytes.
 const MAX_FILE_BYTES: u64 = 16 * 1024 * 1024;
 
 /// What to check against, and how to print it.
@@ -35,29 +37,46 @@
 /// Fails when a file cannot be read or is none of these; the error names the file.
 pub(crate) fn run(files: &[PathBuf], options: &CheckOptions) -> Result<bool> {
     let mut is_sound = true;
+    let mut failure = None;
     for file in files {
-        if file.is_dir() {
-            ticket::check(file)?;
-            continue;
-        }
-        let text = read_bounded(file)?;
-        if text.trim_start().starts_with('{') {
-            is_sound &= declaration::check(file, &text, options)?;
-        } else {
-            check_settings(file)?;
+        match check_one(file, options) {
+            Ok(file_is_sound) => is_sound &= file_is_sound,
+            Err(e) => {
+                if let Some(earlier) = failure.replace(e) {
+                    eprintln!("{earlier}");
+                }
+            }
         }
     }
-    Ok(is_sound)
+    failure.map_or(Ok(is_sound), Err)
+}
+
+fn check_one(file: &Path, options: &CheckOptions) -> Result<bool> {
+    if file.is_dir() {
+        ticket::check(file)?;
+        return Ok(true);
+    }
+    let text = read_bounded(file)?;
+    if text.trim_start().starts_with(['{', '[']) {
+        return declaration::check(file, &text, options);
+    }
+    check_settings(file)?;
+    Ok(true)
 }
 
+/// Returns the text of a file, without a byte order mark.
 fn read_bounded(file: &Path) -> Result<String> {
-    let bytes = std::fs::metadata(file).map_err(Error::file(file))?.len();
-    if bytes > MAX_FILE_BYTES {
-        let file = file.display();
-        let problem = format!("{file}: {bytes} bytes; check files of 16 MiB at most");
+    let mut text = String::new();
+    let opened = File::open(file).map_err(Error::file(file))?;
+    let mut reader = opened.take(MAX_FILE_BYTES + 1);
+    reader
+        .read_to_string(&mut text)
+        .map_err(Error::file(file))?;
+    if text.len() as u64 > MAX_FILE_BYTES {
+        let problem = format!("{}: check files of 16 MiB at most", file.display());
         return Err(Error::Other(problem));
     }
-    std::fs::read_to_string(file).map_err(Error::file(file))
+    Ok(text.trim_start_matches('\u{feff}').to_string())
 }
 
 /// Validates a settings file and the key and certificate files that it names, and
