Requests leave their data centre only as a surplus

What callers saw: nothing wrong, but two of three requests went to another data centre without need: the constant penalty of 0.15 requests is small against the random spread of three by which entries avoid to choose alike.

Change: each entry keeps a share of its requests that leaves, adapted to the difference of the reported loads at home and elsewhere, at the pace at which requests end. What has no room at home, or would meet a failing runner there, leaves at once. On where the service declares delays between data centres.

--- /dev/null
+++ b/crates/core/src/gateway/locality/decision.rs
@@ -0,0 +1,129 @@
+//! The share of requests that leaves the data centre, and which request does.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::gateway::locality::MoveCost;
+use crate::gateway::locality::PlaceLoad;
+
+/// Interval at which the share is adapted. Reports of load arrive a few times in it.
+const ADAPT_INTERVAL: Duration = Duration::from_millis(250);
+/// Bounds of the time that a request is assumed to stay at a runner. The load follows a
+/// change of the share only as requests end.
+const MIN_STAY: Duration = Duration::from_millis(500);
+const MAX_STAY: Duration = Duration::from_secs(5);
+/// Largest change of the share in one interval. All entries of a data centre adapt by the
+/// same reports.
+const MAX_STEP: f64 = 0.1;
+/// Share below which no request leaves.
+const NEGLIGIBLE_SHARE: f64 = 0.01;
+
+/// Where a request goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Preference {
+    /// To a runner of the entry's data centre, to others only without room there.
+    Home,
+    /// To a runner of another data centre, to one at home only without room there.
+    Elsewhere,
+}
+
+/// What an operator sees of the decision.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LocalityState {
+    /// Share of the requests that leaves the data centre since it has too many.
+    pub share: f64,
+    /// The load at home when the share was last adapted.
+    pub home: PlaceLoad,
+    /// The load elsewhere then.
+    pub elsewhere: PlaceLoad,
+}
+
+/// Keeps the share of one service's requests that leaves the entry's data centre.
+#[derive(Clone, Copy, Debug)]
+pub struct Locality {
+    cost: MoveCost,
+    state: LocalityState,
+    adapted_at: Instant,
+    /// Part of a request that is still to leave.
+    due: f64,
+}
+
+impl Locality {
+    /// Returns a decision by which nothing leaves yet.
+    pub fn new(now: Instant, cost: MoveCost) -> Self {
+        Self {
+            cost,
+            state: LocalityState {
+                share: 0.0,
+                home: PlaceLoad::default(),
+                elsewhere: PlaceLoad::default(),
+            },
+            adapted_at: now,
+            due: 0.0,
+        }
+    }
+
+    /// Replaces the cost of a move.
+    pub fn set_cost(&mut self, cost: MoveCost) {
+        self.cost = cost;
+    }
+
+    /// Returns the present state.
+    pub fn state(&self) -> LocalityState {
+        self.state
+    }
+
+    /// Returns the difference in requests per runner that a move must be worth.
+    pub fn margin(&self) -> f64 {
+        self.cost.margin()
+    }
+
+    /// Returns whether the share is to be adapted.
+    pub fn is_due(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.adapted_at) >= ADAPT_INTERVAL
+    }
+
+    /// Adapts the share to the load. `stay` is the time that a request stays at a runner,
+    /// `None` if it is not known.
+    ///
+    /// Each interval moves as much of the surplus as ends of the requests that are at
+    /// runners, so that the share settles where the surplus ends. Without runners in one
+    /// of the two parts there is nothing to decide, and the share is kept for their return.
+    pub fn adapt(
+        &mut self,
+        now: Instant,
+        home: PlaceLoad,
+        elsewhere: PlaceLoad,
+        stay: Option<Duration>,
+    ) {
+        let stay = stay.unwrap_or(MAX_STAY).clamp(MIN_STAY, MAX_STAY);
+        let pace = ADAPT_INTERVAL.as_secs_f64() / stay.as_secs_f64();
+        // The surplus is a part of what stays at home, the share one of all requests.
+        let at_home = (1.0 - self.state.share).max(NEGLIGIBLE_SHARE);
+        let change = self.cost.surplus(home, elsewhere) * at_home * pace;
+        let share = self.state.share + change.clamp(-MAX_STEP, MAX_STEP);
+        self.state = LocalityState {
+            share: share.clamp(0.0, 1.0),
+            home,
+            elsewhere,
+        };
+        self.adapted_at = now;
+    }
+
+    /// Returns where the next request goes first. The requests that leave are spread evenly
+    /// over all.
+    pub fn preference(&self) -> Preference {
+        let is_due = self.due + self.state.share >= 1.0;
+        match is_due && self.state.share >= NEGLIGIBLE_SHARE {
+            true => Preference::Elsewhere,
+            false => Preference::Home,
+        }
+    }
+
+    /// Records that a request was sent. One that left since there was no room at home
+    /// counts towards the share.
+    pub fn record_sent(&mut self, left_home: bool) {
+        let left = if left_home { 1.0 } else { 0.0 };
+        self.due = (self.due + self.state.share - left).clamp(-1.0, 1.0);
+    }
+}
--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -8,6 +8,7 @@
 mod health;
 mod limiter;
 mod limits;
+mod locality;
 mod rate_limits;
 mod request;
 mod rests;
@@ -26,8 +27,11 @@
 
 use crate::gateway::EntryShare;
 use crate::gateway::LoadReport;
+use crate::gateway::Locality;
 use crate::gateway::pool::health::Health;
 use crate::gateway::pool::limiter::Limiter;
+use crate::gateway::pool::locality::Candidate;
+use crate::gateway::pool::locality::NearestFirst;
 use crate::gateway::pool::runner::Runner;
 use crate::gateway::smoothed_rate::SmoothedRate;
 use crate::hosting::ListedRunner;
@@ -35,6 +39,7 @@
 use crate::ids::RunnerId;
 
 pub use limits::PoolLimits;
+pub use locality::Departures;
 pub use rate_limits::LimitChange;
 pub use request::Admission;
 pub use request::DequeuedRequest;
@@ -125,6 +130,9 @@
     demand: SmoothedRate,
     /// This entry's share of the rate limits of runners.
     share: EntryShare,
+    /// How many requests leave the data centre; `None` where all runners are alike.
+    locality: Option<Locality>,
+    departures: Departures,
     rng: SmallRng,
 }
 
@@ -142,6 +150,8 @@
             completion_rate: SmoothedRate::new(now),
             demand: SmoothedRate::new(now),
             share: EntryShare::equal(1),
+            locality: None,
+            departures: Departures::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -452,28 +462,33 @@
 
     fn select(&mut self, now: Instant, request: &QueuedRequest) -> Option<Selection> {
         self.update_standing_groups(now);
+        self.adapt_locality(now);
         let exclusions = self.exclusions(now);
         let mut rng = self.rng.clone();
-        let best = self
-            .runners
+        let mut nearest = NearestFirst::new(self.locality.as_ref());
+        let margin = self.locality.as_ref().map_or(0.0, Locality::margin);
+        self.runners
             .values()
             .filter(|runner| self.is_eligible(now, runner, &request.excluded, &exclusions))
-            .map(|runner| {
+            .for_each(|runner| {
                 let spread = match runner.fresh_report(now) {
-                    Some(_) => SPREAD_REQUESTS * rng.random::<f64>(),
+                    Some(_) => SPREAD_REQUESTS,
                     // Only this entry's own requests count, and they are exact.
-                    None => TIE_BREAK_SPREAD * rng.random::<f64>(),
+                    None => TIE_BREAK_SPREAD,
                 };
                 let slots = f64::from(runner.listed.slots.max(1));
-                (
-                    self.load_score(now, runner) + spread / slots,
-                    &runner.listed.id,
-                )
-            })
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, id)| id.clone());
+                let drawn = spread * rng.random::<f64>();
+                let candidate = Candidate {
+                    id: &runner.listed.id,
+                    score: self.load_score(now, runner) + drawn / slots,
+                    slack: (margin + spread) / slots,
+                };
+                nearest.offer(runner.listed.place == self.place, candidate);
+            });
         self.rng = rng;
-        let best = best?;
+        let (best, departure) = nearest.into_best()?;
+        let best = best.clone();
+        self.record_departure(departure);
         let runner = self.runners.get_mut(&best)?;
         let is_counted = runner.limiter.state.limit().is_some();
         runner.limiter.take(now, &best, &self.share);
--- /dev/null
+++ b/crates/core/src/gateway/pool/locality.rs
@@ -0,0 +1,170 @@
+//! The part of the pool that keeps requests in the entry's data centre while that pays.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::gateway::Locality;
+use crate::gateway::LocalityState;
+use crate::gateway::MoveCost;
+use crate::gateway::PlaceLoad;
+use crate::gateway::Pool;
+use crate::gateway::Preference;
+use crate::gateway::pool::runner::Runner;
+use crate::ids::RunnerId;
+
+/// Requests that were sent to runners of other data centres, by reason.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Departures {
+    /// The runners at home have more to do than those elsewhere.
+    pub surplus: u64,
+    /// No runner at home had room.
+    pub no_room: u64,
+    /// The runners at home that had room fail, are slow or are cold.
+    pub unfit: u64,
+}
+
+/// Why a request is sent to another data centre.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Departure {
+    /// It is not, or the pool does not tell data centres apart.
+    None,
+    Surplus,
+    NoRoom,
+    Unfit,
+}
+
+/// A runner that could take a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate<'a> {
+    pub(super) id: &'a RunnerId,
+    /// Its load and penalties; lower is better.
+    pub(super) score: f64,
+    /// By how much a runner elsewhere must be better, if this one is at home.
+    pub(super) slack: f64,
+}
+
+/// Finds the runner with the lowest score in the preferred part of the fleet, and in the
+/// other part if that has none.
+pub(super) struct NearestFirst<'a> {
+    preference: Option<Preference>,
+    home: Option<Candidate<'a>>,
+    elsewhere: Option<Candidate<'a>>,
+}
+
+impl<'a> NearestFirst<'a> {
+    pub(super) fn new(locality: Option<&Locality>) -> Self {
+        Self {
+            preference: locality.map(Locality::preference),
+            home: None,
+            elsewhere: None,
+        }
+    }
+
+    pub(super) fn offer(&mut self, is_home: bool, candidate: Candidate<'a>) {
+        let best = match is_home {
+            true => &mut self.home,
+            false => &mut self.elsewhere,
+        };
+        if best.is_none_or(|known| candidate.score < known.score) {
+            *best = Some(candidate);
+        }
+    }
+
+    /// Returns the runner, and why the request leaves the data centre.
+    pub(super) fn into_best(self) -> Option<(&'a RunnerId, Departure)> {
+        let Self {
+            preference,
+            home,
+            elsewhere,
+        } = self;
+        let Some(home) = home else {
+            let departure = preference.map_or(Departure::None, |_| Departure::NoRoom);
+            return elsewhere.map(|elsewhere| (elsewhere.id, departure));
+        };
+        let Some(elsewhere) = elsewhere else {
+            return Some((home.id, Departure::None));
+        };
+        let gain = home.score - elsewhere.score;
+        Some(match preference {
+            None if gain > 0.0 => (elsewhere.id, Departure::None),
+            None => (home.id, Departure::None),
+            Some(Preference::Elsewhere) => (elsewhere.id, Departure::Surplus),
+            Some(Preference::Home) if gain > home.slack => (elsewhere.id, Departure::Unfit),
+            Some(Preference::Home) => (home.id, Departure::None),
+        })
+    }
+}
+
+impl Pool {
+    /// Sets what a move to another data centre costs; `None` if the service's runners are
+    /// chosen without regard to their data centre.
+    pub fn set_move_cost(&mut self, now: Instant, cost: Option<MoveCost>) {
+        match (&mut self.locality, cost) {
+            (Some(locality), Some(cost)) => locality.set_cost(cost),
+            (locality, cost) => *locality = cost.map(|cost| Locality::new(now, cost)),
+        }
+    }
+
+    /// Returns how many requests leave the data centre, if the pool decides that.
+    pub fn locality(&self) -> Option<LocalityState> {
+        self.locality.as_ref().map(Locality::state)
+    }
+
+    /// Returns the requests that have left the data centre so far.
+    pub fn departures(&self) -> Departures {
+        self.departures
+    }
+
+    pub(super) fn adapt_locality(&mut self, now: Instant) {
+        if !self
+            .locality
+            .as_ref()
+            .is_some_and(|known| known.is_due(now))
+        {
+            return;
+        }
+        let (home, elsewhere) = self.place_loads(now);
+        let stay = self.mean_stay();
+        if let Some(locality) = &mut self.locality {
+            locality.adapt(now, home, elsewhere, stay);
+        }
+    }
+
+    /// Returns the load of the runners in the data centre and of the others.
+    fn place_loads(&self, now: Instant) -> (PlaceLoad, PlaceLoad) {
+        let (mut home, mut elsewhere) = (PlaceLoad::default(), PlaceLoad::default());
+        for runner in self.runners.values() {
+            if runner.accepts_requests(now) && !runner.health.is_ejected(now) {
+                let load = match runner.listed.place == self.place {
+                    true => &mut home,
+                    false => &mut elsewhere,
+                };
+                load.add(runner.total_requests(now));
+            }
+        }
+        (home, elsewhere)
+    }
+
+    /// Returns the mean time that a request stays at a runner, by Little's law; `None` as
+    /// long as none has ended.
+    fn mean_stay(&self) -> Option<Duration> {
+        let in_flight: u32 = self.runners.values().map(Runner::in_flight).sum();
+        let rate = self.completion_rate.at_last_event();
+        let stay = f64::from(in_flight) / rate;
+        (rate > 0.0)
+            .then(|| Duration::try_from_secs_f64(stay).ok())
+            .flatten()
+    }
+
+    pub(super) fn record_departure(&mut self, departure: Departure) {
+        match departure {
+            Departure::None => {}
+            Departure::Surplus => self.departures.surplus += 1,
+            Departure::NoRoom => self.departures.no_room += 1,
+            Departure::Unfit => self.departures.unfit += 1,
+        }
+        if let Some(locality) = &mut self.locality {
+            locality.record_sent(departure != Departure::None);
+        }
+    }
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -10,6 +10,7 @@
 mod break_off;
 mod caller_stream;
 mod crash_probe;
+mod departures;
 mod exchange;
 mod leader_shares;
 mod led_groups;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -35,6 +35,7 @@
 use wisteriawick_core::gateway::EntryId;
 use wisteriawick_core::gateway::LatestDeclaration;
 use wisteriawick_core::gateway::LoadReport;
+use wisteriawick_core::gateway::MoveCost;
 use wisteriawick_core::gateway::Pool;
 use wisteriawick_core::gateway::PoolLimits;
 use wisteriawick_core::gateway::QueuedRequest;
@@ -58,6 +59,7 @@
 use crate::eventlog::EventCategory;
 use crate::eventlog::EventLog;
 use crate::gateway::crash_probe::CrashProbes;
+use crate::gateway::departures::DepartureLog;
 use crate::gateway::leader_shares::LeaderShares;
 use crate::gateway::led_groups::LedGroups;
 use crate::gateway::rank_positions::RankPositions;
@@ -87,6 +89,7 @@
     pub(crate) budget: WindowedRetryBudget,
     stream_times: ResponseTimes,
     plain_times: ResponseTimes,
+    departures: DepartureLog,
     /// Where the decision about each queued request is sent.
     waiters: HashMap<QueuedRequestId, oneshot::Sender<Admission>>,
 }
@@ -215,6 +218,9 @@
                 .entry(target.id.clone())
                 .or_insert_with(|| self.new_service(now, limits));
             service_state.pool.set_limits(limits);
+            let engine = target.engine.as_ref();
+            let cost = MoveCost::new(&self.settings.place, &target.delays, engine);
+            service_state.pool.set_move_cost(now, cost);
             service_state
                 .pool
                 .set_runners(now, runner_registry.of_service(&target.id));
@@ -236,6 +242,7 @@
             ),
             stream_times: ResponseTimes::default(),
             plain_times: ResponseTimes::default(),
+            departures: DepartureLog::default(),
             waiters: HashMap::default(),
         }
     }
@@ -481,6 +488,9 @@
             gauge!(telemetry::LIMITED_RUNNERS, "service" => label.clone()).set(limited as f64);
             let resting = service_state.pool.resting_count(now);
             gauge!(telemetry::RESTING_RUNNERS, "service" => label).set(resting as f64);
+            service_state
+                .departures
+                .report(service, &service_state.pool, &self.log);
             if service_state.waiters.is_empty() {
                 continue;
             }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -57,6 +57,11 @@
 pub const LIMITED_RUNNERS: &str = "wisteriawick_limited_runners";
 /// Runners that want no request for a time after they refused one, by service.
 pub const RESTING_RUNNERS: &str = "wisteriawick_resting_runners";
+/// Share of the requests that leaves the data centre since its runners have too many, by
+/// service.
+pub const DEPARTURE_SHARE: &str = "wisteriawick_departure_share";
+/// Requests sent to runners of other data centres, by service and reason.
+pub const DEPARTURES: &str = "wisteriawick_departures_total";
 /// Runners that said in a response that they are leaving, before the store listed it.
 pub const LEAVING_ANNOUNCED: &str = "wisteriawick_leaving_announced_total";
 /// Switches of the expert map completed by all ranks.
