Departures: shares fall when their reason is gone, long requests, one-sided reports

Found by review, shown by tests that failed before or were too weak: a share stayed within a wide band, also after the demand had moved away or home was idle; the pace assumed stays of five seconds at most, so requests of a minute made the share swing; runners elsewhere that fail at once looked idle and drew requests; a failing runner at home kept them where slots are few; with reports of one part only, the other looked idle; runners of four and of sixteen slots counted alike.

Change: what has left comes back below half of the margin; the pace follows the measured stay and the elapsed time; loads are compared by slot, among runners with reports in both parts or in neither, without those that fail three of ten requests; a request that was to leave stays if the runner elsewhere is worse by far.

--- a/crates/core/src/gateway/locality/decision.rs
+++ b/crates/core/src/gateway/locality/decision.rs
@@ -5,13 +5,18 @@
 
 use crate::gateway::locality::MoveCost;
 use crate::gateway::locality::PlaceLoad;
+use crate::gateway::locality::surplus::Shift;
 
 /// Interval at which the share is adapted. Reports of load arrive a few times in it.
 const ADAPT_INTERVAL: Duration = Duration::from_millis(250);
-/// Bounds of the time that a request is assumed to stay at a runner. The load follows a
-/// change of the share only as requests end.
+/// Longest time between two adaptations that counts, for entries with few requests.
+const MAX_ELAPSED: Duration = Duration::from_secs(1);
+/// Bounds of the time that a request stays at a runner. The load follows a change of the
+/// share only as requests end.
 const MIN_STAY: Duration = Duration::from_millis(500);
-const MAX_STAY: Duration = Duration::from_secs(5);
+const MAX_STAY: Duration = Duration::from_secs(300);
+/// Time that a request is assumed to stay before one has ended.
+const ASSUMED_STAY: Duration = Duration::from_secs(5);
 /// Largest change of the share in one interval. All entries of a data centre adapt by the
 /// same reports.
 const MAX_STEP: f64 = 0.1;
@@ -86,9 +91,9 @@
     /// Adapts the share to the load. `stay` is the time that a request stays at a runner,
     /// `None` if it is not known.
     ///
-    /// Each interval moves as much of the surplus as ends of the requests that are at
-    /// runners, so that the share settles where the surplus ends. Without runners in one
-    /// of the two parts there is nothing to decide, and the share is kept for their return.
+    /// As much of the surplus moves as ends of the requests that are at runners, so that
+    /// the share settles where the surplus ends. Without runners in one of the two parts
+    /// there is nothing to decide, and the share is kept for their return.
     pub fn adapt(
         &mut self,
         now: Instant,
@@ -96,14 +101,22 @@
         elsewhere: PlaceLoad,
         stay: Option<Duration>,
     ) {
-        let stay = stay.unwrap_or(MAX_STAY).clamp(MIN_STAY, MAX_STAY);
-        let pace = ADAPT_INTERVAL.as_secs_f64() / stay.as_secs_f64();
-        // The surplus is a part of what stays at home, the share one of all requests.
-        let at_home = (1.0 - self.state.share).max(NEGLIGIBLE_SHARE);
-        let change = self.cost.surplus(home, elsewhere) * at_home * pace;
-        let share = self.state.share + change.clamp(-MAX_STEP, MAX_STEP);
+        let stay = stay.unwrap_or(ASSUMED_STAY).clamp(MIN_STAY, MAX_STAY);
+        let elapsed = now
+            .saturating_duration_since(self.adapted_at)
+            .min(MAX_ELAPSED);
+        let pace = elapsed.as_secs_f64() / stay.as_secs_f64();
+        let share = self.state.share;
+        let change = match self.cost.shift(home, elsewhere) {
+            // The surplus is a part of what stays at home, the share one of all requests.
+            Shift::Leave(part) => part * (1.0 - share) * pace,
+            Shift::Return(urgency) => -share * urgency * pace,
+            Shift::Stay => 0.0,
+        };
+        let share = (share + change.clamp(-MAX_STEP, MAX_STEP)).clamp(0.0, 1.0);
+        let is_returned = change < 0.0 && share < NEGLIGIBLE_SHARE;
         self.state = LocalityState {
-            share: share.clamp(0.0, 1.0),
+            share: if is_returned { 0.0 } else { share },
             home,
             elsewhere,
         };
--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -478,11 +478,8 @@
                 };
                 let slots = f64::from(runner.listed.slots.max(1));
                 let drawn = spread * rng.random::<f64>();
-                let candidate = Candidate {
-                    id: &runner.listed.id,
-                    score: self.load_score(now, runner) + drawn / slots,
-                    slack: (margin + spread) / slots,
-                };
+                let score = self.load_score(now, runner) + drawn / slots;
+                let candidate = Candidate::new(&runner.listed.id, score, margin, spread, slots);
                 nearest.offer(runner.listed.place == self.place, candidate);
             });
         self.rng = rng;
--- a/crates/core/src/gateway/pool/locality.rs
+++ b/crates/core/src/gateway/pool/locality.rs
@@ -17,9 +17,9 @@
 pub struct Departures {
     /// The runners at home have more to do than those elsewhere.
     pub surplus: u64,
-    /// No runner at home had room.
+    /// No runner at home could take them.
     pub no_room: u64,
-    /// The runners at home that had room fail, are slow or are cold.
+    /// A runner elsewhere was better by far: those at home fail, are slow, cold or fuller.
     pub unfit: u64,
 }
 
@@ -39,10 +39,28 @@
     pub(super) id: &'a RunnerId,
     /// Its load and penalties; lower is better.
     pub(super) score: f64,
-    /// By how much a runner elsewhere must be better, if this one is at home.
+    /// By how much a runner in the other part must be better.
     pub(super) slack: f64,
 }
 
+/// Largest [`Candidate::slack`]: half of a runner's slots, and what a cold runner costs.
+const MAX_SLACK: f64 = 0.5;
+/// Share of failed requests from which on a runner counts as no room for more. Requests
+/// that fail at once look like a low load.
+const MAX_FAILURE_SHARE: f64 = 0.3;
+
+impl<'a> Candidate<'a> {
+    /// Returns a candidate with so many slots. The load of runners is compared with a
+    /// random difference of up to `spread` requests, and a move must be worth `margin`.
+    pub(super) fn new(id: &'a RunnerId, score: f64, margin: f64, spread: f64, slots: f64) -> Self {
+        Self {
+            id,
+            score,
+            slack: ((margin + spread) / slots).min(MAX_SLACK),
+        }
+    }
+}
+
 /// Finds the runner with the lowest score in the preferred part of the fleet, and in the
 /// other part if that has none.
 pub(super) struct NearestFirst<'a> {
@@ -88,6 +106,7 @@
         Some(match preference {
             None if gain > 0.0 => (elsewhere.id, Departure::None),
             None => (home.id, Departure::None),
+            Some(Preference::Elsewhere) if -gain > elsewhere.slack => (home.id, Departure::None),
             Some(Preference::Elsewhere) => (elsewhere.id, Departure::Surplus),
             Some(Preference::Home) if gain > home.slack => (elsewhere.id, Departure::Unfit),
             Some(Preference::Home) => (home.id, Departure::None),
@@ -123,24 +142,45 @@
         {
             return;
         }
-        let (home, elsewhere) = self.place_loads(now);
+        let Some((home, elsewhere)) = self.place_loads(now) else {
+            return;
+        };
         let stay = self.mean_stay();
         if let Some(locality) = &mut self.locality {
             locality.adapt(now, home, elsewhere, stay);
         }
     }
 
-    /// Returns the load of the runners in the data centre and of the others.
-    fn place_loads(&self, now: Instant) -> (PlaceLoad, PlaceLoad) {
+    /// Returns the load of the runners in the data centre and of the others, by reports if
+    /// there are any. Returns `None` if only one of the two has reports: requests of other
+    /// entries would count in one of them only.
+    fn place_loads(&self, now: Instant) -> Option<(PlaceLoad, PlaceLoad)> {
+        let reported = self.loads_where(now, |runner| runner.fresh_report(now).is_some());
+        match (reported.0.runners > 0, reported.1.runners > 0) {
+            (true, true) => Some(reported),
+            (false, false) => Some(self.loads_where(now, |_| true)),
+            (true, false) | (false, true) => None,
+        }
+    }
+
+    fn loads_where(
+        &self,
+        now: Instant,
+        is_counted: impl Fn(&Runner) -> bool,
+    ) -> (PlaceLoad, PlaceLoad) {
         let (mut home, mut elsewhere) = (PlaceLoad::default(), PlaceLoad::default());
-        for runner in self.runners.values() {
-            if runner.accepts_requests(now) && !runner.health.is_ejected(now) {
-                let load = match runner.listed.place == self.place {
-                    true => &mut home,
-                    false => &mut elsewhere,
-                };
-                load.add(runner.total_requests(now));
-            }
+        let is_fit = |runner: &&Runner| {
+            runner.accepts_requests(now)
+                && !runner.health.is_ejected(now)
+                && runner.health.failure_share(now) < MAX_FAILURE_SHARE
+        };
+        let runners = self.runners.values().filter(is_fit);
+        for runner in runners.filter(|runner| is_counted(runner)) {
+            let load = match runner.listed.place == self.place {
+                true => &mut home,
+                false => &mut elsewhere,
+            };
+            load.add(runner.listed.slots, runner.total_requests(now));
         }
         (home, elsewhere)
     }
