--- a/crates/core/src/hosting.rs
+++ b/crates/core/src/hosting.rs
@@ -118,6 +118,20 @@
     }
 }
 
+/// Revision of the platform's whole store, which grows with every change within an era.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Revision(pub u64);
+
+/// A revision together with its era. Revisions of different eras are unrelated; a position
+/// of a later era is the greater one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position {
+    /// Era that gave out the revision.
+    pub era: Era,
+    /// Revision within the era.
+    pub revision: Revision,
+}
+
 /// The state of a runner in the platform's list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListedState {
