Evacuations: state and pool

Pool keeps the runners of evacuated data centres out of each choice and out of hand_out, refuses at once what only they could take, and scales the completion rate to the runners that are left while requests wait. Ejections count only runners in use. Nothing sets the state yet.

--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -5,6 +5,7 @@
 //! of at the runners, so that they are ordered by priority and deadline until
 //! they are sent. Requests that cannot start in time are rejected at once.
 
+mod evacuated;
 mod health;
 mod limiter;
 mod limits;
@@ -125,6 +126,8 @@
     demand: SmoothedRate,
     /// This entry's share of the rate limits of runners.
     share: EntryShare,
+    /// Data centres whose runners get no requests.
+    evacuated: BTreeSet<PlaceId>,
     rng: SmallRng,
 }
 
@@ -142,6 +145,7 @@
             completion_rate: SmoothedRate::new(now),
             demand: SmoothedRate::new(now),
             share: EntryShare::equal(1),
+            evacuated: BTreeSet::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -180,6 +184,7 @@
             }
         }
         self.runners.retain(|_, runner| !runner.is_forgettable(now));
+        self.mark_evacuated();
     }
 
     /// Stores the load report of the runner at an address.
@@ -222,8 +227,8 @@
         if let Some(selection) = self.select(now, &request) {
             return Admission::Run(selection);
         }
-        if let Some(rest) = self.all_rest(now, &request) {
-            return reject_until(rest);
+        if let Some(rejection) = self.reject_unavailable(now, &request) {
+            return rejection;
         }
         if !self.may_queue(now, &request) {
             return self.reject();
@@ -245,7 +250,8 @@
         id: &RunnerId,
         outcome: RunnerOutcome,
     ) -> Vec<DequeuedRequest> {
-        if outcome == RunnerOutcome::Served {
+        let is_evacuated = self.runners.get(id).is_some_and(|r| r.is_evacuated);
+        if outcome == RunnerOutcome::Served && !is_evacuated {
             self.completion_rate.record(now);
         }
         if let Some(runner) = self.runners.get_mut(id) {
@@ -409,8 +415,8 @@
             let admission = match self.select(now, &request) {
                 Some(selection) => Admission::Run(selection),
                 None if now >= request.deadline => self.reject(),
-                None => match self.all_rest(now, &request) {
-                    Some(rest) => reject_until(rest),
+                None => match self.reject_unavailable(now, &request) {
+                    Some(rejection) => rejection,
                     None => {
                         self.queue.push(request);
                         continue;
@@ -489,12 +495,13 @@
 
     /// Returns whether a request may be handed to the runner that was selected for it. Call
     /// this right before sending: the runner may have named a limit or a rest
-    /// since, or be leaving.
+    /// since, be leaving, or be in an evacuated data centre.
     pub fn hand_out(&mut self, now: Instant, selection: &Selection) -> bool {
         let Some(runner) = self.runners.get_mut(&selection.runner.id) else {
             return false;
         };
-        if runner.is_gone(&selection.runner) || runner.rest_left(now).is_some() {
+        let is_gone = runner.is_gone(&selection.runner);
+        if is_gone || runner.is_evacuated || runner.rest_left(now).is_some() {
             return false;
         }
         selection.is_counted || runner.limiter.take(now, &runner.listed.id, &self.share)
@@ -525,9 +532,11 @@
 
     /// Returns whether ejected runners are excluded: not if there are too many.
     fn excludes_ejected(&self, now: Instant) -> bool {
-        let is_ejected = |runner: &&Runner| runner.health.is_ejected(now);
-        let ejected = self.runners.values().filter(is_ejected).count();
-        ejected as f64 <= self.runners.len() as f64 * MAX_EJECTED_SHARE
+        let in_use = self.runners.values().filter(|runner| !runner.is_evacuated);
+        let ejected = in_use
+            .clone()
+            .filter(|runner| runner.health.is_ejected(now));
+        ejected.count() as f64 <= in_use.count() as f64 * MAX_EJECTED_SHARE
     }
 
     fn may_queue(&self, now: Instant, request: &QueuedRequest) -> bool {
@@ -547,6 +556,17 @@
         Duration::from_secs_f64((ahead / completion_rate).min(MAX_RETRY_AFTER.as_secs_f64() * 10.0))
     }
 
+    /// Rejects a request that no runner takes, whatever room there is.
+    fn reject_unavailable(&self, now: Instant, request: &QueuedRequest) -> Option<Admission> {
+        if self.all_evacuated(request) {
+            return Some(Admission::Reject {
+                retry_after: MAX_RETRY_AFTER,
+                reason: RejectReason::AllEvacuated,
+            });
+        }
+        self.all_rest(now, request).map(reject_until)
+    }
+
     fn reject(&self) -> Admission {
         let retry_after = self.expected_wait().clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         Admission::Reject {
--- a/crates/core/src/gateway/pool/request.rs
+++ b/crates/core/src/gateway/pool/request.rs
@@ -86,6 +86,8 @@
     NoRoom,
     /// All runners that could take it have asked to be left alone.
     AllRest,
+    /// All runners that could take it are in evacuated data centres.
+    AllEvacuated,
 }
 
 impl fmt::Display for RejectReason {
@@ -93,6 +95,7 @@
         f.write_str(match self {
             Self::NoRoom => "no room in time",
             Self::AllRest => "all runners rest",
+            Self::AllEvacuated => "all runners evacuated",
         })
     }
 }
--- a/crates/core/src/gateway/pool/rests.rs
+++ b/crates/core/src/gateway/pool/rests.rs
@@ -7,7 +7,6 @@
 use crate::gateway::QueuedRequest;
 use crate::gateway::pool::runner::Runner;
 use crate::hosting::ListedRunner;
-use crate::hosting::ListedState;
 
 impl Pool {
     /// Records that a runner wants no request for a time. The time does not get shorter.
@@ -28,8 +27,8 @@
     pub(super) fn all_rest(&self, now: Instant, request: &QueuedRequest) -> Option<Duration> {
         let mut shortest: Option<Duration> = None;
         for runner in self.runners.values() {
-            let is_candidate = !runner.is_unlisted
-                && runner.listed.state == ListedState::Ready
+            let is_candidate = runner.is_listed_ready()
+                && !runner.is_evacuated
                 && !request.excluded.contains(&runner.listed.id);
             if is_candidate {
                 let left = runner.rest_left(now)?;
--- a/crates/core/src/gateway/pool/runner.rs
+++ b/crates/core/src/gateway/pool/runner.rs
@@ -40,6 +40,8 @@
     /// Whether the runner is no longer listed. It is kept until its requests have
     /// ended, and while what it said of itself may hold, in case it is listed again.
     pub(super) is_unlisted: bool,
+    /// Whether the runner's data centre is evacuated.
+    pub(super) is_evacuated: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -62,6 +64,7 @@
             silent_since: None,
             last_report: None,
             is_unlisted: false,
+            is_evacuated: false,
         }
     }
 
@@ -183,12 +186,17 @@
             None => true,
         };
         is_group_open
-            && !self.is_unlisted
-            && self.listed.state == ListedState::Ready
+            && !self.is_evacuated
+            && self.is_listed_ready()
             && !self.health.is_unavailable(now)
             && self.rest_left(now).is_none()
     }
 
+    /// Returns whether the list has the runner as one that takes requests.
+    pub(super) fn is_listed_ready(&self) -> bool {
+        !self.is_unlisted && self.listed.state == ListedState::Ready
+    }
+
     /// Returns the last report unless it is too old.
     pub(super) fn fresh_report(&self, now: Instant) -> Option<&ReceivedReport> {
         self.last_report
--- a/crates/core/src/gateway/smoothed_rate.rs
+++ b/crates/core/src/gateway/smoothed_rate.rs
@@ -28,6 +28,11 @@
         self.at = now;
     }
 
+    /// Scales the rate, when what causes the events is known to have changed by a factor.
+    pub(crate) fn scale(&mut self, factor: f64) {
+        self.per_second *= factor;
+    }
+
     /// Returns the rate as of the last event.
     pub(crate) fn at_last_event(&self) -> f64 {
         self.per_second
