--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -28,6 +28,7 @@
 mod stop;
 mod store_watch;
 mod upstream;
+mod watch_backoff;
 
 use std::sync::Arc;
 
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -7,12 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use metrics::counter;
 use serde_json::json;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::gateway::Declaration;
 use wisteriawick_core::gateway::StoreBehind;
-use wisteriawick_core::gateway::WatchPace;
 use wisteriawick_core::hosting::Era;
 use wisteriawick_core::hosting::ListedRunner;
 use wisteriawick_platform::Change;
@@ -23,17 +21,14 @@
 use crate::eventlog::EventCategory;
 use crate::gateway::state::GatewayState;
 use crate::gateway::state::lock;
-use crate::telemetry;
+use crate::gateway::watch_backoff::Progress;
+use crate::gateway::watch_backoff::WatchBackoff;
 
 /// Longest time that the store holds a watch call. Including the time for the
 /// response it stays below the two seconds in which a declaration must be in force.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest time to wait for a listing.
-const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Delay after a failed call; doubles with each further failure up to
-/// [`MAX_RETRY_DELAY`].
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
+pub(super) const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Keeps the declaration up to date until shutdown.
 pub(crate) async fn watch_declaration(state: Arc<GatewayState>, shutdown: CancellationToken) {
@@ -55,7 +50,7 @@
 
 async fn follow_declaration(state: &GatewayState) {
     let mut position: Option<Position> = None;
-    let mut backoff = WatchBackoff::new("declaration");
+    let mut backoff = WatchBackoff::new("declaration", WATCH_TIMEOUT);
     loop {
         let result = match position {
             None => list_declaration(state).await.map(Progress::listed),
@@ -124,7 +119,7 @@
 
 async fn follow_runners(state: &GatewayState) {
     let mut position: Option<Position> = None;
-    let mut backoff = WatchBackoff::new("runners");
+    let mut backoff = WatchBackoff::new("runners", WATCH_TIMEOUT);
     loop {
         if lock(&state.runner_registry).take_relist(state.now()) {
             position = None;
@@ -218,114 +213,10 @@
     }
 }
 
-fn log_unreadable(state: &GatewayState, problem: &str) {
+pub(super) fn log_unreadable(state: &GatewayState, problem: &str) {
     state.log.line(
         EventCategory::Failure,
         "unreadable",
         json!({"problem": problem}),
     );
 }
-
-/// What a successful call came to.
-struct Progress {
-    /// Where the next watch begins.
-    next: Position,
-    /// Whether a watch returned changes.
-    has_changes: bool,
-}
-
-impl Progress {
-    /// Returns the progress of a listing.
-    fn listed(next: Position) -> Self {
-        Self {
-            next,
-            has_changes: true,
-        }
-    }
-}
-
-/// Paces the calls of one watch: delays retries after failures of the store, and calls
-/// that would follow each other too closely.
-struct WatchBackoff {
-    /// Names the watch in log lines and metrics.
-    name: &'static str,
-    /// Consecutive failed calls.
-    failures: u32,
-    pace: WatchPace,
-}
-
-impl WatchBackoff {
-    fn new(name: &'static str) -> Self {
-        Self {
-            name,
-            failures: 0,
-            pace: WatchPace::default(),
-        }
-    }
-
-    /// Returns how long the store may hold the next watch call. After a failure it
-    /// responds at once, so that its era is known before a watch waits in vain for
-    /// changes after a revision of an older era.
-    fn watch_timeout(&self) -> Duration {
-        match self.failures {
-            0 => WATCH_TIMEOUT,
-            _ => Duration::ZERO,
-        }
-    }
-
-    /// Returns the position to watch from next, after the delay that the call's result
-    /// requires. `None` means that a new listing is needed.
-    async fn next_position(
-        &mut self,
-        state: &GatewayState,
-        position: Option<Position>,
-        result: Result<Progress, StoreError>,
-    ) -> Option<Position> {
-        counter!(telemetry::STORE_CALLS, "for" => self.name).increment(1);
-        match result {
-            Ok(progress) => {
-                if self.failures > 0 {
-                    state.log.line(
-                        EventCategory::State,
-                        "store_regained",
-                        json!({"for": self.name}),
-                    );
-                }
-                self.failures = 0;
-                tokio::time::sleep(self.pace.next_delay(progress.has_changes)).await;
-                Some(progress.next)
-            }
-            Err(StoreError::HistoryGone) => {
-                state.log.line(
-                    EventCategory::State,
-                    "history_gone",
-                    json!({"for": self.name}),
-                );
-                None
-            }
-            Err(StoreError::EraChanged { from, to }) => {
-                state.log.line(
-                    EventCategory::State,
-                    "store_restored",
-                    json!({"for": self.name, "era": to.0, "era_before": from.0}),
-                );
-                None
-            }
-            Err(e) => {
-                if let StoreError::OlderEra { era, newest } = e {
-                    let fields = json!({"for": self.name, "era": era.0, "newest": newest.0});
-                    state.log.line(EventCategory::Failure, "older_era", fields);
-                } else if self.failures == 0 {
-                    let fields = json!({"for": self.name, "error": e.to_string()});
-                    state.log.line(EventCategory::Failure, "store_lost", fields);
-                }
-                counter!(telemetry::STORE_FAILURES, "for" => self.name).increment(1);
-                let delay = MIN_RETRY_DELAY * 2u32.pow(self.failures.min(4));
-                self.failures += 1;
-                let jitter = 0.75 + state.random_fraction() / 2.0;
-                tokio::time::sleep(delay.min(MAX_RETRY_DELAY).mul_f64(jitter)).await;
-                position
-            }
-        }
-    }
-}
--- /dev/null
+++ b/src/gateway/watch_backoff.rs
@@ -0,0 +1,125 @@
+//! Paces the calls of the tasks that watch the store.
+
+use std::time::Duration;
+
+use metrics::counter;
+use serde_json::json;
+use wisteriawick_core::gateway::WatchPace;
+use wisteriawick_platform::Position;
+use wisteriawick_platform::StoreError;
+
+use crate::eventlog::EventCategory;
+use crate::gateway::state::GatewayState;
+use crate::telemetry;
+
+/// Delay after a failed call; doubles with each further failure up to
+/// [`MAX_RETRY_DELAY`].
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// What a successful call came to.
+pub(super) struct Progress {
+    /// Where the next watch begins.
+    pub(super) next: Position,
+    /// Whether a watch returned changes.
+    pub(super) has_changes: bool,
+}
+
+impl Progress {
+    /// Returns the progress of a listing.
+    pub(super) fn listed(next: Position) -> Self {
+        Self {
+            next,
+            has_changes: true,
+        }
+    }
+}
+
+/// Paces the calls of one watch: delays retries after failures of the store, and calls
+/// that would follow each other too closely.
+pub(super) struct WatchBackoff {
+    /// Names the watch in log lines and metrics.
+    name: &'static str,
+    /// Longest time for which the store holds a watch call.
+    hold: Duration,
+    /// Consecutive failed calls.
+    failures: u32,
+    pace: WatchPace,
+}
+
+impl WatchBackoff {
+    pub(super) fn new(name: &'static str, hold: Duration) -> Self {
+        Self {
+            name,
+            hold,
+            failures: 0,
+            pace: WatchPace::default(),
+        }
+    }
+
+    /// Returns how long the store may hold the next watch call. After a failure it
+    /// responds at once, so that its era is known before a watch waits in vain for
+    /// changes after a revision of an older era.
+    pub(super) fn watch_timeout(&self) -> Duration {
+        match self.failures {
+            0 => self.hold,
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Returns the position to watch from next, after the delay that the call's result
+    /// requires. `None` means that a new listing is needed.
+    pub(super) async fn next_position(
+        &mut self,
+        state: &GatewayState,
+        position: Option<Position>,
+        result: Result<Progress, StoreError>,
+    ) -> Option<Position> {
+        counter!(telemetry::STORE_CALLS, "for" => self.name).increment(1);
+        match result {
+            Ok(progress) => {
+                if self.failures > 0 {
+                    state.log.line(
+                        EventCategory::State,
+                        "store_regained",
+                        json!({"for": self.name}),
+                    );
+                }
+                self.failures = 0;
+                tokio::time::sleep(self.pace.next_delay(progress.has_changes)).await;
+                Some(progress.next)
+            }
+            Err(StoreError::HistoryGone) => {
+                state.log.line(
+                    EventCategory::State,
+                    "history_gone",
+                    json!({"for": self.name}),
+                );
+                None
+            }
+            Err(StoreError::EraChanged { from, to }) => {
+                state.log.line(
+                    EventCategory::State,
+                    "store_restored",
+                    json!({"for": self.name, "era": to.0, "era_before": from.0}),
+                );
+                None
+            }
+            Err(e) => {
+                if let StoreError::OlderEra { era, newest } = e {
+                    let fields = json!({"for": self.name, "era": era.0, "newest": newest.0});
+                    state.log.line(EventCategory::Failure, "older_era", fields);
+                } else if self.failures == 0 {
+                    let fields = json!({"for": self.name, "error": e.to_string()});
+                    state.log.line(EventCategory::Failure, "store_lost", fields);
+                }
+                counter!(telemetry::STORE_FAILURES, "for" => self.name).increment(1);
+                let delay = MIN_RETRY_DELAY * 2u32.pow(self.failures.min(4));
+                self.failures += 1;
+                let jitter = 0.75 + state.random_fraction() / 2.0;
+                tokio::time::sleep(delay.min(MAX_RETRY_DELAY).mul_f64(jitter)).await;
+                position
+            }
+        }
+    }
+}
