Entries: keep requests away from evacuated data centres

Changes come into force in all pools at once. Entries and leaders of groups pass on what they know over their links, at the beginning and with each change, so an entry that is cut off from the store learns of it. An entry that may miss something says so in its log and a gauge. Without a bound no call is made and no message sent.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -10,6 +10,7 @@
 mod break_off;
 mod caller_stream;
 mod crash_probe;
+mod evacuations;
 mod exchange;
 mod leader_shares;
 mod led_groups;
@@ -80,6 +81,13 @@
         Arc::clone(&state),
         shutdown.clone(),
     ));
+    if let Some(bound) = state.settings.bounds.evacuation {
+        tokio::spawn(evacuations::watch_evacuations(
+            Arc::clone(&state),
+            bound,
+            shutdown.clone(),
+        ));
+    }
     tokio::spawn(load_reports::watch_loads(
         Arc::clone(&state),
         shutdown.clone(),
--- a/src/gateway/load_reports.rs
+++ b/src/gateway/load_reports.rs
@@ -22,6 +22,8 @@
 
 use crate::eventlog::EventCategory;
 use crate::gateway::state::GatewayState;
+use crate::rank::evacuation_notes::evacuation_notes;
+use crate::rank::evacuation_notes::send_evacuations;
 use crate::rank::limit_board::limit_notes;
 use crate::rank::link::Link;
 use crate::rank::link_server::from_wire;
@@ -150,6 +152,7 @@
     .await?;
     let mut notes = state.crashes.subscribe();
     let mut limits = LimitReports::new(state);
+    let mut evacuations = state.evacuation_updates();
     let mut members = state.led_groups.join();
     loop {
         let message = tokio::select! {
@@ -162,6 +165,10 @@
                 link.send(&EntryMessage::Limits(report)).await?;
                 continue;
             }
+            known = evacuations.next() => {
+                send_evacuations(link, &known, EntryMessage::Evacuations).await?;
+                continue;
+            }
         };
         match message {
             GroupMessage::Load(load) => {
@@ -175,6 +182,9 @@
             GroupMessage::Entries(count) => state.update_entry_count(count),
             GroupMessage::Crashes(notes) => state.learn_crashes(&from_wire(&notes)),
             GroupMessage::Limits(limits) => learn_limits(state, group, limits),
+            GroupMessage::Evacuations(notes) => {
+                state.learn_evacuations(&evacuation_notes(&notes));
+            }
             GroupMessage::Position(_) => {}
         }
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -55,6 +55,7 @@
 use wisteriawick_platform::StoreClient;
 
 use crate::crash_board::CrashBoard;
+use crate::evacuation_board::EvacuationBoard;
 use crate::eventlog::EventCategory;
 use crate::eventlog::EventLog;
 use crate::gateway::crash_probe::CrashProbes;
@@ -108,6 +109,10 @@
     /// How many suspects were blocked when that was last looked at.
     blocked_suspects: AtomicUsize,
     pub(crate) crash_probes: CrashProbes,
+    /// Data centres whose runners get no requests.
+    pub(crate) evacuations: EvacuationBoard,
+    /// Whether they may be older than the settings allow.
+    pub(crate) evacuations_unconfirmed: AtomicBool,
     /// Groups and ranks of the runners.
     pub(crate) positions: RankPositions,
     pub(crate) led_groups: LedGroups,
@@ -150,6 +155,8 @@
             crashes: CrashBoard::new(Arc::clone(&clock)),
             blocked_suspects: AtomicUsize::new(0),
             crash_probes: CrashProbes::default(),
+            evacuations: EvacuationBoard::default(),
+            evacuations_unconfirmed: AtomicBool::new(false),
             positions: RankPositions::default(),
             led_groups: LedGroups::default(),
             broken: Mutex::default(),
@@ -201,11 +208,15 @@
         lock(&self.latest_declaration).compare_listed(era, listed)
     }
 
-    /// Updates all pools from the declaration and the runner registry.
+    /// Updates all pools from the declaration and the runner registry. Before it is known
+    /// what is evacuated, no pool gets a runner.
     pub(crate) fn refresh_services(&self) {
         let Some(declaration) = self.declaration() else {
             return;
         };
+        if !self.knows_evacuations() {
+            return;
+        }
         let now = self.now();
         let runner_registry = lock(&self.runner_registry);
         let mut services = lock(&self.services);
@@ -224,10 +235,26 @@
         self.runners_changed.notify_one();
     }
 
+    /// Updates which runners of all pools are in evacuated data centres, and decides anew
+    /// on queued requests.
+    pub(crate) fn refresh_evacuated(&self) {
+        let now = self.now();
+        let mut services = lock(&self.services);
+        // Read under the lock of the pools, so that the last change is the last applied.
+        let places = self.evacuations.lock().places();
+        for service_state in services.values_mut() {
+            service_state.pool.set_evacuated(&places);
+            let dequeued = service_state.pool.dispatch_queued(now);
+            service_state.deliver(now, dequeued);
+        }
+    }
+
     fn new_service(&self, now: Instant, limits: PoolLimits) -> ServiceState {
         let bounds = &self.settings.bounds;
+        let mut pool = Pool::new(now, self.settings.place.clone(), limits, self.next_seed());
+        pool.set_evacuated(&self.evacuations.lock().places());
         ServiceState {
-            pool: Pool::new(now, self.settings.place.clone(), limits, self.next_seed()),
+            pool,
             budget: WindowedRetryBudget::new(
                 bounds.retry_budget_ratio,
                 bounds.retry_budget_extra,
@@ -290,9 +317,12 @@
 
     /// Returns whether this entry can serve callers.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping()
-            && self.has_runner_list.load(Ordering::Relaxed)
-            && self.declaration().is_some()
+        !self.is_stopping() && self.knows_runners() && self.knows_evacuations()
+    }
+
+    /// Returns whether the store has told which services there are, and their runners.
+    pub(crate) fn knows_runners(&self) -> bool {
+        self.has_runner_list.load(Ordering::Relaxed) && self.declaration().is_some()
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
@@ -480,7 +510,9 @@
             let limited = service_state.pool.limited_count();
             gauge!(telemetry::LIMITED_RUNNERS, "service" => label.clone()).set(limited as f64);
             let resting = service_state.pool.resting_count(now);
-            gauge!(telemetry::RESTING_RUNNERS, "service" => label).set(resting as f64);
+            gauge!(telemetry::RESTING_RUNNERS, "service" => label.clone()).set(resting as f64);
+            let evacuated = service_state.pool.evacuated_count();
+            gauge!(telemetry::EVACUATED_RUNNERS, "service" => label).set(evacuated as f64);
             if service_state.waiters.is_empty() {
                 continue;
             }
@@ -561,6 +593,7 @@
         }
         state.refresh_shares();
         state.report_gauges();
+        state.report_evacuations();
         state.log_breaks();
         state.dispatch_all();
         state.upstreams.close_idle(state.now());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 mod crash_board;
 pub mod entry;
 pub mod error;
+mod evacuation_board;
 pub mod eventlog;
 pub mod gateway;
 pub mod link;
--- a/src/rank.rs
+++ b/src/rank.rs
@@ -7,6 +7,7 @@
 //! entries. No request passes through an agent.
 
 mod counts;
+pub(crate) mod evacuation_notes;
 pub(crate) mod group_load;
 mod hold_resolver;
 mod leader;
@@ -32,6 +33,7 @@
 use crate::crash_board::CrashBoard;
 use crate::error::Error;
 use crate::error::Result;
+use crate::evacuation_board::EvacuationBoard;
 use crate::eventlog::EventCategory;
 use crate::eventlog::EventLog;
 use crate::gateway::bind;
@@ -75,6 +77,7 @@
         entries: Arc::default(),
         crashes: CrashBoard::new(Arc::clone(&clock)),
         limits: LimitBoard::new(Arc::clone(&clock), log.clone()),
+        evacuations: EvacuationBoard::default(),
     };
     tokio::spawn(link_server::serve(
         listener,
--- a/src/rank/link_server.rs
+++ b/src/rank/link_server.rs
@@ -22,6 +22,10 @@
 use crate::accept;
 use crate::crash_board::CrashBoard;
 use crate::crash_board::CrashNotes;
+use crate::evacuation_board::EvacuationBoard;
+use crate::evacuation_board::EvacuationUpdates;
+use crate::rank::evacuation_notes::evacuation_notes;
+use crate::rank::evacuation_notes::send_evacuations;
 use crate::rank::group_load::GroupLoad;
 use crate::rank::limit_board::LimitBoard;
 use crate::rank::limit_board::LimitLink;
@@ -75,6 +79,8 @@
     pub(crate) crashes: CrashBoard,
     /// What the linked entries know of the rate limits of runners.
     pub(crate) limits: LimitBoard,
+    /// What the linked entries know of evacuations.
+    pub(crate) evacuations: EvacuationBoard,
 }
 
 /// Accepts links of leaders and entries until `stop` is cancelled.
@@ -161,10 +167,11 @@
 struct EntryNotes {
     crashes: Option<CrashNotes>,
     limits: Option<LimitLink>,
+    evacuations: EvacuationUpdates,
 }
 
-/// Exchanges notes with an entry about requests that crash runners and about rate limits,
-/// until the group's load has changed and the next report of it is due.
+/// Exchanges notes with an entry about requests that crash runners, about rate limits and
+/// about evacuations, until the group's load has changed and the next report of it is due.
 async fn exchange_notes(
     link: &mut Link,
     notes: &mut EntryNotes,
@@ -188,6 +195,13 @@
                     limits.report(report);
                     link.send(&GroupMessage::Limits(limits.to_message())).await?;
                 }
+                EntryMessage::Evacuations(received) => {
+                    let received = evacuation_notes(&received);
+                    group.evacuations.update(|known| known.merge(&received));
+                    if notes.evacuations.is_none() {
+                        notes.evacuations = group.evacuations.subscribe();
+                    }
+                }
             },
             news = next_notes(&mut notes.crashes) => {
                 send_notes(link, &news, GroupMessage::Crashes).await?;
@@ -195,6 +209,9 @@
             changed = next_limits(&mut notes.limits) => {
                 link.send(&GroupMessage::Limits(changed)).await?;
             }
+            known = notes.evacuations.next() => {
+                send_evacuations(link, &known, GroupMessage::Evacuations).await?;
+            }
         }
     }
 }
--- a/src/rank/wire.rs
+++ b/src/rank/wire.rs
@@ -3,6 +3,7 @@
 //! They are encoded with postcard, which relies on the order of fields and
 //! variants and writes no names.
 
+mod evacuations;
 mod kind;
 mod limits;
 mod order;
@@ -25,6 +26,7 @@
 use wisteriawick_platform::RankState;
 
 use crate::rank::group_load::GroupLoad;
+pub(crate) use crate::rank::wire::evacuations::EvacuationWire;
 pub(crate) use crate::rank::wire::limits::EntryLimitsWire;
 pub(crate) use crate::rank::wire::limits::GroupLimitsWire;
 pub(crate) use crate::rank::wire::limits::LimitNoteWire;
@@ -64,6 +66,9 @@
     /// Addresses of the group's runners by rank; `None` for unknown ones. Sent before the
     /// first load and whenever they change.
     Members(Vec<Option<SocketAddr>>),
+    /// What is known of evacuations; only to entries that have sent
+    /// [`EntryMessage::Evacuations`].
+    Evacuations(Vec<EvacuationWire>),
 }
 
 /// A message from an entry to the leader of a group.
@@ -73,6 +78,9 @@
     Crashes(Vec<CrashNoteWire>),
     /// The entry's demand and what its responses say of rate limits; may be empty.
     Limits(EntryLimitsWire),
+    /// What is known of evacuations; may be empty. Only from entries whose settings state
+    /// a bound for them.
+    Evacuations(Vec<EvacuationWire>),
 }
 
 /// What is known of a suspect, as in [`CrashNote`].
--- a/src/rank/wire/kind.rs
+++ b/src/rank/wire/kind.rs
@@ -22,6 +22,7 @@
             Self::Entries(_) => "entries",
             Self::Crashes(_) => "crashes",
             Self::Limits(_) => "limits",
+            Self::Evacuations(_) => "evacuations",
         }
     }
 }
@@ -31,6 +32,7 @@
         match self {
             Self::Crashes(_) => "crashes",
             Self::Limits(_) => "limits",
+            Self::Evacuations(_) => "evacuations",
         }
     }
 }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -49,7 +49,7 @@
 /// Failed calls to the platform's store, by purpose.
 pub const STORE_FAILURES: &str = "wisteriawick_store_failures_total";
 /// What the platform's store lacks since it was restored from an older copy: whether
-/// the declaration in force, and how many records of runners, are newer there.
+/// the declaration in force is newer, and how many records of runners and evacuations are.
 pub const STORE_BEHIND: &str = "wisteriawick_store_behind";
 /// Requests and parts of prompts that are not sent to runners since they crash them.
 pub const BLOCKED_SUSPECTS: &str = "wisteriawick_blocked_suspects";
@@ -57,6 +57,13 @@
 pub const LIMITED_RUNNERS: &str = "wisteriawick_limited_runners";
 /// Runners that want no request for a time after they refused one, by service.
 pub const RESTING_RUNNERS: &str = "wisteriawick_resting_runners";
+/// Evacuated data centres.
+pub const EVACUATED_PLACES: &str = "wisteriawick_evacuated_places";
+/// Listed runners that get no requests since their data centre is evacuated, by service.
+pub const EVACUATED_RUNNERS: &str = "wisteriawick_evacuated_runners";
+/// Whether the known evacuations may be older than the settings allow, since the store has
+/// not confirmed them for that long.
+pub const EVACUATIONS_UNCONFIRMED: &str = "wisteriawick_evacuations_unconfirmed";
 /// Runners that said in a response that they are leaving, before the store listed it.
 pub const LEAVING_ANNOUNCED: &str = "wisteriawick_leaving_announced_total";
 /// Switches of the expert map completed by all ranks.
