Soak: evacuations while entries and the store fail

A data centre is evacuated and given back beside an entry that is killed, frozen or cut off from the store, or a store that is silent, refuses or loses its history. Nothing may reach its runner once the bound is over. A defect, entries without the bound, must be found.

--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -29,6 +29,7 @@
             Soak::planned_stops(seed),
             Soak::power_losses(seed),
             Soak::notices(seed),
+            Soak::evacuations(seed),
         ] {
             passed &= run_one(soak, &binary, report).await;
         }
--- a/crates/soak/src/defect.rs
+++ b/crates/soak/src/defect.rs
@@ -26,7 +26,13 @@
         return Ok(response);
     }
     match fixture.soak.defect {
-        None | Some(Defect::EndsEarly | Defect::ForgetsAcknowledged | Defect::HidesNotices) => {}
+        None
+        | Some(
+            Defect::EndsEarly
+            | Defect::ForgetsAcknowledged
+            | Defect::HidesEvacuations
+            | Defect::HidesNotices,
+        ) => {}
         Some(Defect::LosesResponses) => return Err("lost by a defect".into()),
         Some(Defect::BreaksOff) => response.body = None,
         Some(Defect::Lies) => {
--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -20,6 +20,7 @@
 use rustix::process::kill_process;
 use wisteriawick_platform::SETTINGS_VARIABLE;
 use wisteriawick_platform_standin::linked_entry_settings;
+use wisteriawick_platform_standin::with_evacuation_bound;
 use wisteriawick_standins::address::own_address;
 
 /// Interval between checks whether a process has exited.
@@ -106,6 +107,12 @@
         })
     }
 
+    /// Adds the time within which evacuations must be in force to the settings file.
+    pub(crate) fn set_evacuation_bound(&self, bound: Duration) -> std::io::Result<()> {
+        let settings = std::fs::read_to_string(&self.settings)?;
+        std::fs::write(&self.settings, with_evacuation_bound(&settings, bound))
+    }
+
     /// Starts the process. Its output is appended to the log file of the entry.
     pub(crate) fn start(&self) -> std::io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
--- a/crates/soak/src/fixture.rs
+++ b/crates/soak/src/fixture.rs
@@ -21,8 +21,11 @@
 use wisteriawick_platform_standin::configuration;
 use wisteriawick_platform_standin::with_route;
 
+use crate::Defect;
+use crate::FaultMix;
 use crate::Soak;
 use crate::entry::EntryProcess;
+use crate::evacuations;
 use crate::load::RequestKind;
 use crate::load::is_ready;
 use crate::load::send_request;
@@ -91,6 +94,10 @@
         for n in 0..soak.entries {
             let proxy = Proxy::start(store.address(), shutdown.clone()).await?;
             let process = EntryProcess::new(&format!("entry-{n}"), binary, dir, proxy.address())?;
+            let hears = soak.defect != Some(Defect::HidesEvacuations);
+            if soak.faults == FaultMix::Evacuations && hears {
+                process.set_evacuation_bound(evacuations::BOUND)?;
+            }
             process.start()?;
             entries.push(ProxiedEntry {
                 process,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod defect;
 mod entry;
+mod evacuations;
 mod faults;
 mod fixture;
 mod groups;
@@ -48,6 +49,8 @@
     /// Runners that name a rate limit, ask for rest or say that they leave, each while an
     /// entry is killed, stopped or frozen.
     Notices,
+    /// Evacuations of a data centre, each asked for as an entry or the store fails.
+    Evacuations,
 }
 
 /// A deliberate defect, which shows that the checks find it. The first four alter what
@@ -68,6 +71,8 @@
     ForgetsAcknowledged,
     /// Entries do not hear what runners say of themselves.
     HidesNotices,
+    /// Entries do not hear of evacuations.
+    HidesEvacuations,
 }
 
 /// Settings of one run of the soak test.
@@ -136,6 +141,15 @@
         }
     }
 
+    /// Returns the settings of a run of evacuations for twelve seconds.
+    pub fn evacuations(seed: u64) -> Self {
+        Self {
+            duration: Duration::from_secs(12),
+            faults: FaultMix::Evacuations,
+            ..Self::small(seed)
+        }
+    }
+
     /// Runs the soak test with the program at `binary` and returns its report. The
     /// settings files and logs of the processes are written to `dir` and remain there.
     ///
@@ -157,6 +171,7 @@
         let memory = tokio::spawn(memory::watch(Arc::clone(&fixture), cx.clone()));
         match self.faults {
             FaultMix::Any | FaultMix::PowerLosses => faults::inject_all(&fixture, self).await,
+            FaultMix::Evacuations => evacuations::inject_all(&fixture, self).await,
             FaultMix::Notices => notices::inject_all(&fixture, self).await,
             FaultMix::PlannedStops => stops::inject_all(&fixture, self).await,
         }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -135,6 +135,22 @@
     assert_found(&report, "to a runner that said");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nothing_reaches_an_evacuated_data_centre_while_entries_and_the_store_fail() {
+    run_soak(Soak::evacuations(1)).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_that_do_not_hear_of_evacuations_are_found() {
+    let soak = Soak {
+        defect: Some(Defect::HidesEvacuations),
+        duration: Duration::from_secs(1),
+        ..Soak::evacuations(1)
+    };
+    let (report, _) = run(soak).await;
+    assert_found(&report, "in an evacuated data centre");
+}
+
 async fn run_crashes(soak: CrashSoak) -> (SoakReport, PathBuf) {
     let binary = Path::new(env!("CARGO_BIN_EXE_wisteriawick"));
     let CrashSoak { seed, defect, .. } = soak;
