--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,6 +11,7 @@
 mod caller_stream;
 mod crash_probe;
 mod departures;
+mod evacuations;
 mod exchange;
 mod leader_shares;
 mod led_groups;
@@ -29,6 +30,7 @@
 mod stop;
 mod store_watch;
 mod upstream;
+mod watch_backoff;
 
 use std::sync::Arc;
 
@@ -80,6 +82,13 @@
         Arc::clone(&state),
         shutdown.clone(),
     ));
+    if let Some(bound) = state.settings.bounds.evacuation {
+        tokio::spawn(evacuations::watch_evacuations(
+            Arc::clone(&state),
+            bound,
+            shutdown.clone(),
+        ));
+    }
     tokio::spawn(load_reports::watch_loads(
         Arc::clone(&state),
         shutdown.clone(),
