Bound the requests to runners that are or may be cold

Callers saw streams break off again and again after a data centre came back: runners crashed since they got more requests than a cold one bears, and each crash stopped a whole group.

Cause: nothing limited the requests to a cold runner but a penalty in its score, which was also kept for ever, since a record that is listed again still states the time that was left when it was written.

Change: where a service declares a cold start and the deployment states a bound, each entry keeps to a quota of requests in any second to each runner. Half of the bound is divided equally among the plausible entries, half by the shares of leaders. The Limiter takes the stricter one of a named limit and this one. ColdStatus knows who is cold, until when and why; a change is logged and counted. A refusal says whether only cold runners had room.

Not measured on a deployment yet.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -8,6 +8,7 @@
 //! send requests through agents use the [`router`](crate::router) instead.
 
 mod broken_together;
+mod cold;
 mod common_parts;
 mod crash_note;
 mod crash_record;
@@ -41,6 +42,11 @@
 
 pub use broken_together::BreakSummary;
 pub use broken_together::BrokenTogether;
+pub use cold::ColdLimit;
+pub use cold::ColdQuota;
+pub use cold::ColdSource;
+pub use cold::ColdStatus;
+pub use cold::EntryQuota;
 pub use crash_note::CrashNote;
 pub use crash_note::TrialNote;
 pub use crash_suspect::CrashSuspect;
@@ -77,6 +83,7 @@
 pub use load::GroupReport;
 pub use load::LoadReport;
 pub use pool::Admission;
+pub use pool::ColdChange;
 pub use pool::DequeuedRequest;
 pub use pool::LimitChange;
 pub use pool::Pool;
@@ -99,6 +106,7 @@
 pub use stop_schedule::StopSchedule;
 pub use stream_latency::LateCause;
 pub use stream_latency::StreamLatency;
+pub use token_bucket::Refill;
 pub use token_bucket::TokenBucket;
 pub use watch_pace::WatchPace;
 pub use windowed_retry_budget::WindowedRetryBudget;
--- a/crates/core/src/gateway/entry_share.rs
+++ b/crates/core/src/gateway/entry_share.rs
@@ -64,7 +64,7 @@
 }
 
 /// Returns a number that differs between runners and is the same at all entries.
-fn spread(runner: &RunnerId) -> u32 {
+pub(crate) fn spread(runner: &RunnerId) -> u32 {
     let digest = blake3::hash(runner.as_str().as_bytes());
     let bytes = digest.as_bytes();
     u32::from(u16::from_le_bytes([bytes[0], bytes[1]]))
--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -5,6 +5,7 @@
 //! of at the runners, so that they are ordered by priority and deadline until
 //! they are sent. Requests that cannot start in time are rejected at once.
 
+mod cold;
 mod health;
 mod limiter;
 mod limits;
@@ -24,8 +25,11 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::gateway::ColdSource;
 use crate::gateway::EntryShare;
 use crate::gateway::LoadReport;
+use crate::gateway::pool::cold::ColdBound;
+use crate::gateway::pool::cold::ColdQuotas;
 use crate::gateway::pool::health::Health;
 use crate::gateway::pool::limiter::Limiter;
 use crate::gateway::pool::runner::Runner;
@@ -34,6 +38,7 @@
 use crate::ids::PlaceId;
 use crate::ids::RunnerId;
 
+pub use cold::ColdChange;
 pub use limits::PoolLimits;
 pub use rate_limits::LimitChange;
 pub use request::Admission;
@@ -104,6 +109,8 @@
     /// Groups that get none because nothing is heard of them. While they have no request,
     /// one may try them.
     silent_groups: Vec<Arc<str>>,
+    /// What runners that are or may be cold get.
+    cold_quotas: Option<ColdQuotas>,
 }
 
 /// The runners of one service, as known to this entry, and the requests queued
@@ -125,6 +132,11 @@
     demand: SmoothedRate,
     /// This entry's share of the rate limits of runners.
     share: EntryShare,
+    /// The bound for runners that are or may be cold; `None` if the service declares no
+    /// cold start.
+    cold: Option<ColdBound>,
+    /// Whether runners were listed before.
+    was_listed: bool,
     rng: SmallRng,
 }
 
@@ -142,6 +154,8 @@
             completion_rate: SmoothedRate::new(now),
             demand: SmoothedRate::new(now),
             share: EntryShare::equal(1),
+            cold: None,
+            was_listed: false,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -155,10 +169,15 @@
     ///
     /// The health and load of a runner that restarted or moved are reset.
     pub fn set_runners(&mut self, now: Instant, listed: Vec<ListedRunner>) {
+        let cold_time = self.cold_time();
+        let was_listed = self.was_listed;
+        self.was_listed |= !listed.is_empty();
+        let returned: BTreeSet<RunnerId> = self.unlisted().cloned().collect();
         for runner in self.runners.values_mut() {
             runner.is_unlisted = true;
         }
         for listed in listed {
+            let remaining = listed.cold_remaining;
             match self.runners.get_mut(&listed.id) {
                 Some(known) => {
                     let has_restarted = known.listed.started_unix_ms != listed.started_unix_ms
@@ -166,16 +185,27 @@
                     if has_restarted {
                         known.health = Health::new(now);
                         known.clear_report();
-                        known.limiter = Limiter::new(now);
+                        known.limiter = Limiter::new(now, &listed.id);
                         known.resting_until = None;
                         known.record_sign_of_life(now);
                     }
+                    let begun = match has_restarted {
+                        true => Some(ColdSource::Started),
+                        false if returned.contains(&listed.id) => Some(ColdSource::Returned),
+                        false => None,
+                    };
+                    let record = |runner: &ListedRunner| (runner.cold_remaining, runner.sequence);
+                    let is_news = has_restarted || record(&known.listed) != record(&listed);
+                    known.listed_cold(now, cold_time, begun, is_news.then_some(remaining));
                     known.listed = listed;
                     known.is_unlisted = false;
                 }
                 None => {
                     let id = listed.id.clone();
-                    self.runners.insert(id, Runner::new(now, listed));
+                    let mut runner = Runner::new(now, listed);
+                    let begun = was_listed.then_some(ColdSource::Started);
+                    runner.listed_cold(now, cold_time, begun, Some(remaining));
+                    self.runners.insert(id, runner);
                 }
             }
         }
@@ -184,8 +214,13 @@
 
     /// Stores the load report of the runner at an address.
     pub fn update_load(&mut self, now: Instant, address: SocketAddr, load: &LoadReport) {
+        let cold_time = self.cold_time();
         let at_address = |runner: &&mut Runner| runner.listed.address == address;
         if let Some(runner) = self.runners.values_mut().find(at_address) {
+            if let Some(time) = cold_time.filter(|_| runner.is_group_formed_by(load)) {
+                let cold = &mut runner.limiter.cold;
+                cold.assume(now, time, ColdSource::GroupFormed);
+            }
             runner.receive_report(now, load);
         }
         // From now on reports name the groups, so the refusals of runners whose
@@ -217,7 +252,7 @@
     pub fn admit(&mut self, now: Instant, request: QueuedRequest) -> Admission {
         self.demand.record(now);
         if now >= request.deadline {
-            return self.reject();
+            return self.reject(RejectReason::NoRoom);
         }
         if let Some(selection) = self.select(now, &request) {
             return Admission::Run(selection);
@@ -226,7 +261,7 @@
             return reject_until(rest);
         }
         if !self.may_queue(now, &request) {
-            return self.reject();
+            return self.reject(self.lack_of_room(now, &request));
         }
         self.queue.push(request);
         Admission::Wait
@@ -248,6 +283,7 @@
         if outcome == RunnerOutcome::Served {
             self.completion_rate.record(now);
         }
+        let cold_time = self.cold_time();
         if let Some(runner) = self.runners.get_mut(id) {
             runner.request_ended(now);
             if outcome.is_sign_of_life() {
@@ -260,7 +296,10 @@
                 RunnerOutcome::Served => runner.health.record_served(now),
                 RunnerOutcome::Abandoned => {}
                 RunnerOutcome::Busy | RunnerOutcome::Rests => {}
-                RunnerOutcome::Failed => runner.health.record_broken(now),
+                RunnerOutcome::Failed => {
+                    runner.health.record_broken(now);
+                    runner.listed_cold(now, cold_time, Some(ColdSource::Unreachable), None);
+                }
                 RunnerOutcome::ErrorResponse => runner.health.record_error_response(now),
                 RunnerOutcome::Replaced => runner.health.record_replaced(now),
             }
@@ -387,6 +426,7 @@
         Exclusions {
             ejected: self.excludes_ejected(now),
             silent_groups: self.tried_groups(),
+            cold_quotas: self.cold_quotas(now),
         }
     }
 
@@ -408,7 +448,7 @@
         for request in std::mem::take(&mut self.queue) {
             let admission = match self.select(now, &request) {
                 Some(selection) => Admission::Run(selection),
-                None if now >= request.deadline => self.reject(),
+                None if now >= request.deadline => self.reject(self.lack_of_room(now, &request)),
                 None => match self.all_rest(now, &request) {
                     Some(rest) => reject_until(rest),
                     None => {
@@ -439,6 +479,19 @@
         runner: &Runner,
         excluded: &[RunnerId],
         exclusions: &Exclusions,
+    ) -> bool {
+        self.is_usable(now, runner, excluded, exclusions)
+            && self.is_within_limits(now, runner, exclusions)
+    }
+
+    /// Returns whether a runner could take a request, apart from limits on the requests
+    /// per second.
+    fn is_usable(
+        &self,
+        now: Instant,
+        runner: &Runner,
+        excluded: &[RunnerId],
+        exclusions: &Exclusions,
     ) -> bool {
         let is_group_silent = |group| exclusions.silent_groups.contains(group);
         runner.accepts_requests(now)
@@ -446,10 +499,27 @@
             && !runner.group().is_some_and(is_group_silent)
             && runner.has_room(now, &self.limits)
             && !excluded.contains(&runner.listed.id)
-            && runner.limiter.allows(now, &runner.listed.id, &self.share)
             && self.group_may_be_tried(now, runner)
     }
 
+    fn is_within_limits(&self, now: Instant, runner: &Runner, exclusions: &Exclusions) -> bool {
+        let allowance = self.allowance(now, runner, exclusions.cold_quotas);
+        runner.limiter.allows(now, &runner.listed.id, allowance)
+    }
+
+    /// Returns why no runner can take a request now.
+    fn lack_of_room(&self, now: Instant, request: &QueuedRequest) -> RejectReason {
+        let exclusions = self.exclusions(now);
+        let lacks_only_rate = |runner: &Runner| {
+            self.is_usable(now, runner, &request.excluded, &exclusions)
+                && !self.is_within_cold_limit(now, runner, exclusions.cold_quotas)
+        };
+        match self.runners.values().any(lacks_only_rate) {
+            true => RejectReason::ColdLimit,
+            false => RejectReason::NoRoom,
+        }
+    }
+
     fn select(&mut self, now: Instant, request: &QueuedRequest) -> Option<Selection> {
         self.update_standing_groups(now);
         let exclusions = self.exclusions(now);
@@ -474,9 +544,12 @@
             .map(|(_, id)| id.clone());
         self.rng = rng;
         let best = best?;
+        let share = self.share;
+        let quotas = exclusions.cold_quotas;
         let runner = self.runners.get_mut(&best)?;
         let is_counted = runner.limiter.state.limit().is_some();
-        runner.limiter.take(now, &best, &self.share);
+        runner.limiter.take(now, &best, &share);
+        runner.take_cold(now, quotas);
         runner.request_started(now);
         if let Some(refusing) = self.refusing_groups.get_mut(&runner.group().cloned()) {
             refusing.probes += 1;
@@ -484,6 +557,7 @@
         Some(Selection {
             runner: runner.listed.clone(),
             is_counted,
+            cold_counted_at: quotas.map(|_| now),
         })
     }
 
@@ -491,12 +565,16 @@
     /// this right before sending: the runner may have named a limit or a rest
     /// since, or be leaving.
     pub fn hand_out(&mut self, now: Instant, selection: &Selection) -> bool {
+        let quotas = self.cold_quotas(now);
         let Some(runner) = self.runners.get_mut(&selection.runner.id) else {
             return false;
         };
         if runner.is_gone(&selection.runner) || runner.rest_left(now).is_some() {
             return false;
         }
+        if !runner.retake_cold(now, selection.cold_counted_at, quotas) {
+            return false;
+        }
         selection.is_counted || runner.limiter.take(now, &runner.listed.id, &self.share)
     }
 
@@ -511,9 +589,9 @@
             true => 0.0,
             false => REMOTE_PENALTY / slots,
         };
-        let cold_start = match runner.listed.cold_remaining.is_zero() {
-            true => 0.0,
-            false => COLD_START_PENALTY,
+        let cold_start = match self.is_cold(now, runner) {
+            true => COLD_START_PENALTY,
+            false => 0.0,
         };
         let failures = FAILURE_PENALTY * runner.health.failure_share(now);
         let slowdown = runner
@@ -547,11 +625,11 @@
         Duration::from_secs_f64((ahead / completion_rate).min(MAX_RETRY_AFTER.as_secs_f64() * 10.0))
     }
 
-    fn reject(&self) -> Admission {
+    fn reject(&self, reason: RejectReason) -> Admission {
         let retry_after = self.expected_wait().clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         Admission::Reject {
             retry_after,
-            reason: RejectReason::NoRoom,
+            reason,
         }
     }
 }
--- a/crates/core/src/gateway/pool/request.rs
+++ b/crates/core/src/gateway/pool/request.rs
@@ -61,6 +61,9 @@
     pub runner: ListedRunner,
     /// Whether the request counts towards the runner's rate limit already.
     pub is_counted: bool,
+    /// When the request was counted towards the bound for runners that may be cold;
+    /// `None` if there was no bound.
+    pub cold_counted_at: Option<Instant>,
 }
 
 /// The pool's decision about a request.
@@ -86,6 +89,8 @@
     NoRoom,
     /// All runners that could take it have asked to be left alone.
     AllRest,
+    /// All runners with room are or may be cold and get no more requests now.
+    ColdLimit,
 }
 
 impl fmt::Display for RejectReason {
@@ -93,6 +98,7 @@
         f.write_str(match self {
             Self::NoRoom => "no room in time",
             Self::AllRest => "all runners rest",
+            Self::ColdLimit => "no room at cold runners",
         })
     }
 }
--- a/crates/core/src/gateway/pool/runner.rs
+++ b/crates/core/src/gateway/pool/runner.rs
@@ -53,11 +53,11 @@
 impl Runner {
     pub(super) fn new(now: Instant, listed: ListedRunner) -> Self {
         Self {
+            limiter: Limiter::new(now, &listed.id),
             listed,
             in_flight: 0,
             recent_changes: VecDeque::new(),
             health: Health::new(now),
-            limiter: Limiter::new(now),
             resting_until: None,
             silent_since: None,
             last_report: None,
--- a/crates/core/src/gateway/runner_registry.rs
+++ b/crates/core/src/gateway/runner_registry.rs
@@ -141,7 +141,7 @@
     }
 
     /// Sets a runner's record as it was written in this era. Returns whether the
-    /// runner is new or its address, state or start time changed.
+    /// runner is new, its address, state or start time changed, or it turned cold or warm.
     pub fn update(&mut self, runner: ListedRunner) -> bool {
         let id = runner.id.clone();
         let removed = self.removed.remove(&id);
@@ -163,6 +163,7 @@
         let is_changed = previous.is_none_or(|previous| {
             previous.is_expired
                 || previous.withheld != withheld
+                || has_turned(&previous.runner, &runner)
                 || visible_state(&previous.runner) != visible_state(&runner)
         });
         let record = Record {
@@ -398,6 +399,12 @@
     }
 }
 
+/// Returns whether a runner that was or is cold turned cold, cold again or warm.
+fn has_turned(before: &ListedRunner, after: &ListedRunner) -> bool {
+    let is_warm = after.cold_remaining.is_zero();
+    after.cold_remaining > before.cold_remaining || before.cold_remaining.is_zero() != is_warm
+}
+
 /// Returns whether a record is of an earlier start of the runner than another one.
 fn is_earlier_start(runner: &ListedRunner, than: &ListedRunner) -> bool {
     let starts = runner.started_unix_ms.zip(than.started_unix_ms);
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use serde_json::json;
+use wisteriawick_core::gateway::ColdChange;
 use wisteriawick_core::gateway::EntryShare;
 use wisteriawick_core::gateway::LimitChange;
 use wisteriawick_core::gateway::LimitNote;
@@ -70,26 +71,28 @@
         }
     }
 
-    /// Updates the shares of all pools. Without a leader the limits are divided equally.
+    /// Updates the shares of all pools. Without a leader the limits are divided equally; of
+    /// the bound for runners that may be cold only an equal part is used.
     pub(crate) fn refresh_shares(&self) {
         let now = self.now();
         let entries = self.estimated_entries(now);
         self.for_each_service(|service, service_state| {
-            let share = self.leader_shares.get(now, service);
-            let share = share.unwrap_or_else(|| EntryShare::equal(entries.into()));
+            let told = self.leader_shares.get(now, service);
+            service_state.pool.set_cold_share(now, entries.into(), told);
+            let share = told.unwrap_or_else(|| EntryShare::equal(entries.into()));
             service_state.pool.set_share(share);
         });
     }
 
     /// Returns what the leader of a group is to know: the demand for services whose
-    /// runners have limits, and the limits of the group's runners and of those that belong
+    /// runners have limits or may turn cold, and the limits of the group's runners and of those that belong
     /// to no group.
     pub(crate) fn limit_report(&self, group: &str) -> LimitReport {
         let now = self.now();
         let mut report = LimitReport::default();
         self.for_each_service(|service, service_state| {
             let pool = &service_state.pool;
-            if pool.limited_count() > 0 {
+            if pool.limited_count() > 0 || pool.has_cold_limit() {
                 report.demands.push(ServiceDemand {
                     service: service.clone(),
                     per_second: pool.demand(now),
@@ -107,6 +110,15 @@
         report
     }
 
+    /// Logs that a runner turned cold or warm.
+    pub(super) fn log_cold(&self, change: &ColdChange) {
+        let mut fields = self.positions.log_fields(&change.runner);
+        fields["cold"] = change.is_cold.into();
+        fields["left_ms"] = json!(change.left.as_millis() as u64);
+        fields["from"] = change.source.to_string().into();
+        self.log.line(EventCategory::State, "cold_runner", fields);
+    }
+
     fn log_limit(&self, change: &LimitChange, source: &str) {
         let mut fields = self.positions.log_fields(&change.runner);
         fields["per_second"] = json!(change.limit.map(RateLimit::per_second));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -27,6 +27,7 @@
 use wisteriawick_core::collections::HashMap;
 use wisteriawick_core::gateway::Admission;
 use wisteriawick_core::gateway::BrokenTogether;
+use wisteriawick_core::gateway::ColdLimit;
 use wisteriawick_core::gateway::CrashNote;
 use wisteriawick_core::gateway::CrashSuspect;
 use wisteriawick_core::gateway::Declaration;
@@ -215,6 +216,8 @@
                 .entry(target.id.clone())
                 .or_insert_with(|| self.new_service(now, limits));
             service_state.pool.set_limits(limits);
+            let cold_limit = self.cold_limit(target);
+            service_state.pool.set_cold_limit(now, cold_limit);
             service_state
                 .pool
                 .set_runners(now, runner_registry.of_service(&target.id));
@@ -224,6 +227,13 @@
         self.runners_changed.notify_one();
     }
 
+    /// Returns the bound for a service's runners that may be cold; `None` if the service
+    /// declares no cold start or the deployment states no bound.
+    fn cold_limit(&self, target: &ServiceTarget) -> Option<ColdLimit> {
+        let allowance = self.settings.bounds.cold_allowance?;
+        Some(ColdLimit::new(target.cold_start?, allowance))
+    }
+
     fn new_service(&self, now: Instant, limits: PoolLimits) -> ServiceState {
         let bounds = &self.settings.bounds;
         ServiceState {
@@ -480,7 +490,12 @@
             let limited = service_state.pool.limited_count();
             gauge!(telemetry::LIMITED_RUNNERS, "service" => label.clone()).set(limited as f64);
             let resting = service_state.pool.resting_count(now);
-            gauge!(telemetry::RESTING_RUNNERS, "service" => label).set(resting as f64);
+            gauge!(telemetry::RESTING_RUNNERS, "service" => label.clone()).set(resting as f64);
+            let cold = service_state.pool.cold_count(now);
+            gauge!(telemetry::COLD_RUNNERS, "service" => label).set(cold as f64);
+            for change in service_state.pool.take_cold_changes(now) {
+                self.log_cold(&change);
+            }
             if service_state.waiters.is_empty() {
                 continue;
             }
