Fault matrix: the bound for cold runners in any second

Pools of several entries, a leader and runners that restart cold or turn cold unseen, with entries that restart, freeze and send late, and are cut off, leaders that are lost, and most runners lost and back at once.

The matrix showed three breaks of the bound, mended here: - A process that had heard no count assumed eight entries; it assumes sixteen for this bound, and small counts are used once they have settled. - The standing bound gave way at entries without contact, since their part is small; it is compared with the part that they have with contact. - It gave way when most runners were lost. The usual load is now divided by the largest number of ready runners of a minute.

--- a/crates/core/src/gateway/cold/quota.rs
+++ b/crates/core/src/gateway/cold/quota.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 
 use crate::gateway::EntryShare;
+use crate::gateway::Refill;
 
 /// How long a larger share is held back: the two seconds for which another entry may use
 /// what a leader told it before, and the second in which its requests count.
@@ -19,7 +20,10 @@
 const MAX_SHARE_AGE: Duration = Duration::from_millis(500);
 /// With more entries than the bound has requests: the part of it that is given out by
 /// position. The rest is for entries whose position is not known.
-const PLACED_PART: f64 = 2.0 / 3.0;
+const PLACED_PART: f64 = 0.8;
+/// As many entries without a known position use a runner, on average, as this part of the
+/// bound has requests.
+const UNPLACED_PARTS: u32 = 5;
 
 /// The quota of one entry at the runners of a service.
 #[derive(Clone, Debug)]
@@ -90,19 +94,17 @@
             return match self.placed.filter(is_settled).filter(|_| is_confirmed) {
                 Some(placed) => ColdQuota::SomeRunners {
                     position: placed.position,
-                    users: ((f64::from(bound) * PLACED_PART) as u32).max(1),
+                    users: placed_users(bound),
                     of: placed.entries,
                 },
-                // On average a third of the bound, if no entry knows its position.
                 None => ColdQuota::SomeRunners {
                     position: self.own,
                     users: bound,
-                    of: self.entries.saturating_mul(3),
+                    of: self.entries.saturating_mul(UNPLACED_PARTS),
                 },
             };
         }
-        let equal = (bound / (2 * self.entries)).max(1);
-        let spare = bound - self.entries * equal;
+        let (equal, spare) = self.parts(bound);
         let fraction = match is_confirmed {
             true => self
                 .fractions
@@ -113,6 +115,23 @@
         ColdQuota::EachRunner(equal + (fraction.clamp(0.0, 1.0) * f64::from(spare)) as u32)
     }
 
+    /// Returns the requests per second that this entry could send to each runner, on
+    /// average, if it had contact and all entries had the same demand.
+    pub fn equal_rate(&self, bound: u32) -> f64 {
+        if self.entries > bound {
+            let part = f64::from(placed_users(bound)) / f64::from(self.entries);
+            return Refill::within_a_second(1).per_second() * part;
+        }
+        let (equal, spare) = self.parts(bound);
+        Refill::within_a_second(equal + spare / self.entries).per_second()
+    }
+
+    /// Returns the part of a bound that each entry has, and what is lent by demand.
+    fn parts(&self, bound: u32) -> (u32, u32) {
+        let equal = (bound / (2 * self.entries)).max(1);
+        (equal, bound - self.entries * equal)
+    }
+
     fn tell(&mut self, now: Instant, fraction: f64) {
         let is_no_smaller = |(_, earlier): &(Instant, f64)| *earlier >= fraction;
         while self.fractions.back().is_some_and(is_no_smaller) {
@@ -122,6 +141,11 @@
     }
 }
 
+/// Returns how many entries use a runner by their position.
+fn placed_users(bound: u32) -> u32 {
+    ((f64::from(bound) * PLACED_PART) as u32).max(1)
+}
+
 /// The requests that an entry may send to a runner in any second.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ColdQuota {
--- a/crates/core/src/gateway/entry_count.rs
+++ b/crates/core/src/gateway/entry_count.rs
@@ -18,6 +18,10 @@
 /// How long a count is used after a leader last reported it, if only smaller
 /// ones followed: longer than any disconnection that a retry window can see.
 const COUNT_RETENTION: Duration = Duration::from_secs(60);
+/// As [`ASSUMED_ENTRIES`], where entries beyond the assumed number would break a bound.
+const ASSUMED_MOST: u16 = 16;
+/// How long after the first count all entries that can connect have done so.
+const SETTLING_TIME: Duration = Duration::from_secs(10);
 
 /// The number of entries that leaders reported recently.
 #[derive(Debug, Default)]
@@ -25,6 +29,8 @@
     /// Counts that are larger than all later ones, each with the time when it
     /// was last reported; the front is the largest.
     counts: VecDeque<(Instant, u16)>,
+    /// When a leader first reported a count.
+    first_at: Option<Instant>,
 }
 
 impl EntryCount {
@@ -34,6 +40,7 @@
         if count == 0 {
             return;
         }
+        self.first_at.get_or_insert(now);
         while self
             .counts
             .back()
@@ -46,12 +53,28 @@
 
     /// Returns the estimated number of entries.
     pub fn get(&mut self, now: Instant) -> u16 {
+        self.largest(now)
+            .map_or(ASSUMED_ENTRIES, |count| count.max(MIN_ENTRIES))
+    }
+
+    /// Returns the estimated number of entries, which is below the lower bound of
+    /// [`Self::get`] if leaders have reported such counts for some seconds, and higher before
+    /// any leader reported one.
+    pub fn get_settled(&mut self, now: Instant) -> u16 {
+        let is_old = |at| now.saturating_duration_since(at) >= SETTLING_TIME;
+        match self.largest(now) {
+            Some(count) if self.first_at.is_some_and(is_old) => count,
+            Some(count) => count.max(MIN_ENTRIES),
+            None => ASSUMED_MOST,
+        }
+    }
+
+    /// Returns the largest count that was reported recently.
+    fn largest(&mut self, now: Instant) -> Option<u16> {
         // The last count is kept, however old, until another arrives.
         while self.counts.len() > 1 && self.counts[0].0 + COUNT_RETENTION <= now {
             self.counts.pop_front();
         }
-        self.counts
-            .front()
-            .map_or(ASSUMED_ENTRIES, |(_, count)| (*count).max(MIN_ENTRIES))
+        self.counts.front().map(|(_, count)| *count)
     }
 }
--- a/crates/core/src/gateway/pool/cold.rs
+++ b/crates/core/src/gateway/pool/cold.rs
@@ -1,5 +1,6 @@
 //! The part of the pool that spares runners that are or may be cold.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,17 +16,19 @@
 use crate::gateway::pool::limiter::Allowance;
 use crate::gateway::pool::runner::Runner;
 use crate::gateway::token_bucket::MAX_SEND_DELAY;
-use crate::gateway::token_bucket::Refill;
 use crate::hosting::ListedRunner;
 use crate::hosting::ListedState;
 use crate::ids::PlaceId;
 use crate::ids::RunnerId;
 
 /// Number of entries that is assumed until [`Pool::set_cold_share`] is called.
-const ASSUMED_ENTRIES: u32 = 8;
+const ASSUMED_ENTRIES: u32 = 16;
 /// Part of the standing bound that this entry's requests to runners may use before the
 /// bound gives way. Requests are not spread evenly.
 const MAX_USUAL_PART: f64 = 0.8;
+/// How long a number of ready runners counts as usual. When most runners are lost, the
+/// bound of the others must not give way: they may turn cold next.
+const READY_RETENTION: Duration = Duration::from_secs(60);
 /// Multiple of the usual rate that is allowed once the standing bound gives way.
 const USUAL_HEADROOM: f64 = 2.0;
 
@@ -34,6 +37,22 @@
 pub(super) struct ColdBound {
     limit: ColdLimit,
     quota: EntryQuota,
+    /// Numbers of ready runners that are larger than all later ones, each with the time
+    /// when it was last so; the front is the largest.
+    ready: VecDeque<(Instant, usize)>,
+}
+
+impl ColdBound {
+    /// Records the number of ready runners.
+    fn update_ready(&mut self, now: Instant, count: usize) {
+        while self.ready.back().is_some_and(|(_, known)| *known <= count) {
+            self.ready.pop_back();
+        }
+        self.ready.push_back((now, count));
+        while self.ready.len() > 1 && self.ready[0].0 + READY_RETENTION <= now {
+            self.ready.pop_front();
+        }
+    }
 }
 
 /// What this entry may send to the runners now, in any second.
@@ -78,7 +97,11 @@
             (Some(limit), Some(bound)) => bound.limit = limit,
             (Some(limit), None) => {
                 let quota = EntryQuota::new(now, self.rng.random(), ASSUMED_ENTRIES);
-                self.cold = Some(ColdBound { limit, quota });
+                self.cold = Some(ColdBound {
+                    limit,
+                    quota,
+                    ready: VecDeque::new(),
+                });
                 for runner in self.runners.values_mut() {
                     runner.limiter.begin_cold(now);
                 }
@@ -95,8 +118,12 @@
     /// Sets the largest plausible number of entries and the share of the requests that a
     /// leader tells this entry, if one does. Call this several times a second.
     pub fn set_cold_share(&mut self, now: Instant, entries: u32, told: Option<EntryShare>) {
+        let is_ready =
+            |runner: &&Runner| !runner.is_unlisted && runner.listed.state == ListedState::Ready;
+        let ready = self.runners.values().filter(is_ready).count();
         if let Some(bound) = &mut self.cold {
             bound.quota.update(now, entries, told);
+            bound.update_ready(now, ready);
         }
     }
 
@@ -162,11 +189,10 @@
     /// Returns what this entry may send to runners that are or may be cold.
     pub(super) fn cold_quotas(&self, now: Instant) -> Option<ColdQuotas> {
         let bound = self.cold.as_ref()?;
-        let standing = bound.quota.of(now, bound.limit.standing);
         Some(ColdQuotas {
             cold: bound.quota.of(now, bound.limit.cold),
-            standing,
-            usual: self.usual_requests(now, standing),
+            standing: bound.quota.of(now, bound.limit.standing),
+            usual: self.usual_requests(now, bound),
         })
     }
 
@@ -195,19 +221,11 @@
     }
 
     /// Returns the requests in any second that each runner may get if what runners complete
-    /// comes near a quota; zero as long as it does not.
-    fn usual_requests(&self, now: Instant, quota: ColdQuota) -> u32 {
-        let is_ready =
-            |runner: &&Runner| !runner.is_unlisted && runner.listed.state == ListedState::Ready;
-        let ready = self.runners.values().filter(is_ready).count();
+    /// comes near the standing bound; zero as long as it does not.
+    fn usual_requests(&self, now: Instant, bound: &ColdBound) -> u32 {
+        let ready = bound.ready.front().map_or(0, |(_, count)| *count);
         let usual = self.completion_rate.at(now) / (ready.max(1) as f64);
-        let most = match quota {
-            ColdQuota::EachRunner(requests) => Refill::within_a_second(requests).per_second(),
-            ColdQuota::SomeRunners { users, of, .. } => {
-                let part = f64::from(users) / f64::from(of.max(1));
-                Refill::within_a_second(1).per_second() * part
-            }
-        };
+        let most = bound.quota.equal_rate(bound.limit.standing);
         match usual > most * MAX_USUAL_PART {
             true => (usual * USUAL_HEADROOM).ceil() as u32,
             false => 0,
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -7,6 +7,7 @@
 //! are fakes. It does not simulate a whole cluster: a scenario has a handful of
 //! processes and takes at most some tens of seconds of simulated time.
 
+mod cold_runners;
 mod control_link;
 mod crash_notes;
 mod fault;
@@ -20,6 +21,10 @@
 mod restored_store;
 mod tickets;
 
+pub use cold_runners::ColdFaults;
+pub use cold_runners::ColdMutation;
+pub use cold_runners::ColdReport;
+pub use cold_runners::run_cold_runners;
 pub use control_link::LinkMutation;
 pub use control_link::LinkReport;
 pub use control_link::LinkedGroup;
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -76,9 +76,10 @@
     pub(crate) fn refresh_shares(&self) {
         let now = self.now();
         let entries = self.estimated_entries(now);
+        let settled = self.settled_entries(now);
         self.for_each_service(|service, service_state| {
             let told = self.leader_shares.get(now, service);
-            service_state.pool.set_cold_share(now, entries.into(), told);
+            service_state.pool.set_cold_share(now, settled.into(), told);
             let share = told.unwrap_or_else(|| EntryShare::equal(entries.into()));
             service_state.pool.set_share(share);
         });
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -294,6 +294,11 @@
         lock(&self.entry_count).get(now)
     }
 
+    /// Returns [`EntryCount::get_settled`].
+    pub(crate) fn settled_entries(&self, now: Instant) -> u16 {
+        lock(&self.entry_count).get_settled(now)
+    }
+
     pub(crate) fn set_has_runner_list(&self) {
         self.has_runner_list.store(true, Ordering::Relaxed);
     }
