--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -8,6 +8,7 @@
 //! send requests through agents use the [`router`](crate::router) instead.
 
 mod broken_together;
+mod cold;
 mod common_parts;
 mod crash_note;
 mod crash_record;
@@ -44,6 +45,11 @@
 
 pub use broken_together::BreakSummary;
 pub use broken_together::BrokenTogether;
+pub use cold::ColdLimit;
+pub use cold::ColdQuota;
+pub use cold::ColdSource;
+pub use cold::ColdStatus;
+pub use cold::EntryQuota;
 pub use crash_note::CrashNote;
 pub use crash_note::TrialNote;
 pub use crash_suspect::CrashSuspect;
@@ -91,6 +97,7 @@
 pub use locality::PlaceLoad;
 pub use locality::Preference;
 pub use pool::Admission;
+pub use pool::ColdChange;
 pub use pool::Departures;
 pub use pool::DequeuedRequest;
 pub use pool::LimitChange;
@@ -114,6 +121,7 @@
 pub use stop_schedule::StopSchedule;
 pub use stream_latency::LateCause;
 pub use stream_latency::StreamLatency;
+pub use token_bucket::Refill;
 pub use token_bucket::TokenBucket;
 pub use watch_pace::WatchPace;
 pub use windowed_retry_budget::WindowedRetryBudget;
--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -5,6 +5,7 @@
 //! of at the runners, so that they are ordered by priority and deadline until
 //! they are sent. Requests that cannot start in time are rejected at once.
 
+mod cold;
 mod evacuated;
 mod health;
 mod limiter;
@@ -26,9 +27,12 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::gateway::ColdSource;
 use crate::gateway::EntryShare;
 use crate::gateway::LoadReport;
 use crate::gateway::Locality;
+use crate::gateway::pool::cold::ColdBound;
+use crate::gateway::pool::cold::ColdQuotas;
 use crate::gateway::pool::health::Health;
 use crate::gateway::pool::limiter::Limiter;
 use crate::gateway::pool::locality::Candidate;
@@ -39,6 +43,7 @@
 use crate::ids::PlaceId;
 use crate::ids::RunnerId;
 
+pub use cold::ColdChange;
 pub use limits::PoolLimits;
 pub use locality::Departures;
 pub use rate_limits::LimitChange;
@@ -110,6 +115,8 @@
     /// Groups that get none because nothing is heard of them. While they have no request,
     /// one may try them.
     silent_groups: Vec<Arc<str>>,
+    /// What runners that are or may be cold get.
+    cold_quotas: Option<ColdQuotas>,
 }
 
 /// The runners of one service, as known to this entry, and the requests queued
@@ -136,6 +143,11 @@
     departures: Departures,
     /// Data centres whose runners get no requests.
     evacuated: BTreeSet<PlaceId>,
+    /// The bound for runners that are or may be cold; `None` if the service declares no
+    /// cold start.
+    cold: Option<ColdBound>,
+    /// Whether runners were listed before.
+    was_listed: bool,
     rng: SmallRng,
 }
 
@@ -156,6 +168,8 @@
             locality: None,
             departures: Departures::default(),
             evacuated: BTreeSet::new(),
+            cold: None,
+            was_listed: false,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -169,10 +183,15 @@
     ///
     /// The health and load of a runner that restarted or moved are reset.
     pub fn set_runners(&mut self, now: Instant, listed: Vec<ListedRunner>) {
+        let cold_time = self.cold_time();
+        let was_listed = self.was_listed;
+        self.was_listed |= !listed.is_empty();
+        let returned: BTreeSet<RunnerId> = self.unlisted().cloned().collect();
         for runner in self.runners.values_mut() {
             runner.is_unlisted = true;
         }
         for listed in listed {
+            let remaining = listed.cold_remaining;
             match self.runners.get_mut(&listed.id) {
                 Some(known) => {
                     let has_restarted = known.listed.started_unix_ms != listed.started_unix_ms
@@ -180,16 +199,27 @@
                     if has_restarted {
                         known.health = Health::new(now);
                         known.clear_report();
-                        known.limiter = Limiter::new(now);
+                        known.limiter = Limiter::new(now, &listed.id);
                         known.resting_until = None;
                         known.record_sign_of_life(now);
                     }
+                    let begun = match has_restarted {
+                        true => Some(ColdSource::Started),
+                        false if returned.contains(&listed.id) => Some(ColdSource::Returned),
+                        false => None,
+                    };
+                    let record = |runner: &ListedRunner| (runner.cold_remaining, runner.sequence);
+                    let is_news = has_restarted || record(&known.listed) != record(&listed);
+                    known.listed_cold(now, cold_time, begun, is_news.then_some(remaining));
                     known.listed = listed;
                     known.is_unlisted = false;
                 }
                 None => {
                     let id = listed.id.clone();
-                    self.runners.insert(id, Runner::new(now, listed));
+                    let mut runner = Runner::new(now, listed);
+                    let begun = was_listed.then_some(ColdSource::Started);
+                    runner.listed_cold(now, cold_time, begun, Some(remaining));
+                    self.runners.insert(id, runner);
                 }
             }
         }
@@ -199,8 +229,13 @@
 
     /// Stores the load report of the runner at an address.
     pub fn update_load(&mut self, now: Instant, address: SocketAddr, load: &LoadReport) {
+        let cold_time = self.cold_time();
         let at_address = |runner: &&mut Runner| runner.listed.address == address;
         if let Some(runner) = self.runners.values_mut().find(at_address) {
+            if let Some(time) = cold_time.filter(|_| runner.is_group_formed_by(load)) {
+                let cold = &mut runner.limiter.cold;
+                cold.assume(now, time, ColdSource::GroupFormed);
+            }
             runner.receive_report(now, load);
         }
         // From now on reports name the groups, so the refusals of runners whose
@@ -232,7 +267,7 @@
     pub fn admit(&mut self, now: Instant, request: QueuedRequest) -> Admission {
         self.demand.record(now);
         if now >= request.deadline {
-            return self.reject();
+            return self.reject(RejectReason::NoRoom);
         }
         if let Some(selection) = self.select(now, &request) {
             return Admission::Run(selection);
@@ -241,7 +276,7 @@
             return rejection;
         }
         if !self.may_queue(now, &request) {
-            return self.reject();
+            return self.reject(self.lack_of_room(now, &request));
         }
         self.queue.push(request);
         Admission::Wait
@@ -264,6 +299,7 @@
         if outcome == RunnerOutcome::Served && !is_evacuated {
             self.completion_rate.record(now);
         }
+        let cold_time = self.cold_time();
         if let Some(runner) = self.runners.get_mut(id) {
             runner.request_ended(now);
             if outcome.is_sign_of_life() {
@@ -276,7 +312,10 @@
                 RunnerOutcome::Served => runner.health.record_served(now),
                 RunnerOutcome::Abandoned => {}
                 RunnerOutcome::Busy | RunnerOutcome::Rests => {}
-                RunnerOutcome::Failed => runner.health.record_broken(now),
+                RunnerOutcome::Failed => {
+                    runner.health.record_broken(now);
+                    runner.listed_cold(now, cold_time, Some(ColdSource::Unreachable), None);
+                }
                 RunnerOutcome::ErrorResponse => runner.health.record_error_response(now),
                 RunnerOutcome::Replaced => runner.health.record_replaced(now),
             }
@@ -403,6 +442,7 @@
         Exclusions {
             ejected: self.excludes_ejected(now),
             silent_groups: self.tried_groups(),
+            cold_quotas: self.cold_quotas(now),
         }
     }
 
@@ -424,7 +464,7 @@
         for request in std::mem::take(&mut self.queue) {
             let admission = match self.select(now, &request) {
                 Some(selection) => Admission::Run(selection),
-                None if now >= request.deadline => self.reject(),
+                None if now >= request.deadline => self.reject(self.lack_of_room(now, &request)),
                 None => match self.reject_unavailable(now, &request) {
                     Some(rejection) => rejection,
                     None => {
@@ -455,6 +495,19 @@
         runner: &Runner,
         excluded: &[RunnerId],
         exclusions: &Exclusions,
+    ) -> bool {
+        self.is_usable(now, runner, excluded, exclusions)
+            && self.is_within_limits(now, runner, exclusions)
+    }
+
+    /// Returns whether a runner could take a request, apart from limits on the requests
+    /// per second.
+    fn is_usable(
+        &self,
+        now: Instant,
+        runner: &Runner,
+        excluded: &[RunnerId],
+        exclusions: &Exclusions,
     ) -> bool {
         let is_group_silent = |group| exclusions.silent_groups.contains(group);
         runner.accepts_requests(now)
@@ -462,10 +515,27 @@
             && !runner.group().is_some_and(is_group_silent)
             && runner.has_room(now, &self.limits)
             && !excluded.contains(&runner.listed.id)
-            && runner.limiter.allows(now, &runner.listed.id, &self.share)
             && self.group_may_be_tried(now, runner)
     }
 
+    fn is_within_limits(&self, now: Instant, runner: &Runner, exclusions: &Exclusions) -> bool {
+        let allowance = self.allowance(now, runner, exclusions.cold_quotas);
+        runner.limiter.allows(now, &runner.listed.id, allowance)
+    }
+
+    /// Returns why no runner can take a request now.
+    fn lack_of_room(&self, now: Instant, request: &QueuedRequest) -> RejectReason {
+        let exclusions = self.exclusions(now);
+        let lacks_only_rate = |runner: &Runner| {
+            self.is_usable(now, runner, &request.excluded, &exclusions)
+                && !self.is_within_cold_limit(now, runner, exclusions.cold_quotas)
+        };
+        match self.runners.values().any(lacks_only_rate) {
+            true => RejectReason::ColdLimit,
+            false => RejectReason::NoRoom,
+        }
+    }
+
     fn select(&mut self, now: Instant, request: &QueuedRequest) -> Option<Selection> {
         self.update_standing_groups(now);
         self.adapt_locality(now);
@@ -492,9 +562,12 @@
         let (best, departure) = nearest.into_best()?;
         let best = best.clone();
         self.record_departure(departure);
+        let share = self.share;
+        let quotas = exclusions.cold_quotas;
         let runner = self.runners.get_mut(&best)?;
         let is_counted = runner.limiter.state.limit().is_some();
-        runner.limiter.take(now, &best, &self.share);
+        runner.limiter.take(now, &best, &share);
+        runner.take_cold(now, quotas);
         runner.request_started(now);
         if let Some(refusing) = self.refusing_groups.get_mut(&runner.group().cloned()) {
             refusing.probes += 1;
@@ -502,6 +575,7 @@
         Some(Selection {
             runner: runner.listed.clone(),
             is_counted,
+            cold_counted_at: quotas.map(|_| now),
         })
     }
 
@@ -509,6 +583,7 @@
     /// this right before sending: the runner may have named a limit or a rest
     /// since, be leaving, or be in an evacuated data centre.
     pub fn hand_out(&mut self, now: Instant, selection: &Selection) -> bool {
+        let quotas = self.cold_quotas(now);
         let Some(runner) = self.runners.get_mut(&selection.runner.id) else {
             return false;
         };
@@ -516,6 +591,9 @@
         if is_gone || runner.is_evacuated || runner.rest_left(now).is_some() {
             return false;
         }
+        if !runner.retake_cold(now, selection.cold_counted_at, quotas) {
+            return false;
+        }
         selection.is_counted || runner.limiter.take(now, &runner.listed.id, &self.share)
     }
 
@@ -530,9 +608,9 @@
             true => 0.0,
             false => REMOTE_PENALTY / slots,
         };
-        let cold_start = match runner.listed.cold_remaining.is_zero() {
-            true => 0.0,
-            false => COLD_START_PENALTY,
+        let cold_start = match self.is_cold(now, runner) {
+            true => COLD_START_PENALTY,
+            false => 0.0,
         };
         let failures = FAILURE_PENALTY * runner.health.failure_share(now);
         let slowdown = runner
@@ -579,11 +657,11 @@
         self.all_rest(now, request).map(reject_until)
     }
 
-    fn reject(&self) -> Admission {
+    fn reject(&self, reason: RejectReason) -> Admission {
         let retry_after = self.expected_wait().clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         Admission::Reject {
             retry_after,
-            reason: RejectReason::NoRoom,
+            reason,
         }
     }
 }
--- a/crates/core/src/gateway/pool/evacuated.rs
+++ b/crates/core/src/gateway/pool/evacuated.rs
@@ -4,6 +4,7 @@
 //! that are left, from the moment at which one is evacuated.
 
 use std::collections::BTreeSet;
+use std::time::Instant;
 
 use crate::gateway::Pool;
 use crate::gateway::QueuedRequest;
@@ -12,15 +13,20 @@
 
 impl Pool {
     /// Replaces the set of evacuated data centres, whose runners get no requests from now
-    /// on. Call [`dispatch_queued`](Self::dispatch_queued) afterwards.
+    /// on. Runners of those that were given back may have turned cold. Call
+    /// [`dispatch_queued`](Self::dispatch_queued) afterwards.
     ///
     /// While requests wait, the completion rate shows how fast the runners empty the queue,
     /// so it is scaled to those that are left.
-    pub fn set_evacuated(&mut self, places: &BTreeSet<PlaceId>) {
+    pub fn set_evacuated(&mut self, now: Instant, places: &BTreeSet<PlaceId>) {
         if self.evacuated == *places {
             return;
         }
         let before = self.runners_in_use();
+        let given_back: Vec<_> = self.evacuated.difference(places).cloned().collect();
+        for place in &given_back {
+            self.mark_cold(now, place);
+        }
         self.evacuated.clone_from(places);
         self.mark_evacuated();
         let after = self.runners_in_use();
--- a/crates/core/tests/gateway_pool/evacuated.rs
+++ b/crates/core/tests/gateway_pool/evacuated.rs
@@ -60,7 +60,7 @@
         pool.update_load(now, runner(n).address, &report(0, true));
     }
     for queue_id in 0..20 {
-        pool.set_evacuated(&set(&["here", "away"]));
+        pool.set_evacuated(now, &set(&["here", "away"]));
         let admission = pool.admit(now, queued_request(now, queue_id));
         if let Some(runner) = selected_runner(admission) {
             assert_eq!(runner, "r1".into());
@@ -68,10 +68,10 @@
     }
     assert!(!pool.has_room_except(now, &["r1".into()]));
     assert_eq!(pool.evacuated_count(), 2);
-    pool.set_evacuated(&set(&["away"]));
+    pool.set_evacuated(now, &set(&["away"]));
     let admission = pool.admit(now, queued_request(now, 100));
     assert_eq!(selected_runner(admission), Some("r0".into()));
-    pool.set_evacuated(&set(&["here"]));
+    pool.set_evacuated(now, &set(&["here"]));
     let admission = pool.admit(now, queued_request(now, 101));
     assert_eq!(selected_runner(admission), Some("r2".into()), "asked again");
 }
@@ -83,9 +83,9 @@
     let Admission::Run(selection) = pool.admit(now, queued_request(now, 1)) else {
         panic!("the runner is free");
     };
-    pool.set_evacuated(&set(&["here"]));
+    pool.set_evacuated(now, &set(&["here"]));
     assert!(!pool.hand_out(now, &selection));
-    pool.set_evacuated(&set(&[]));
+    pool.set_evacuated(now, &set(&[]));
     assert!(pool.hand_out(now, &selection));
 }
 
@@ -95,7 +95,7 @@
     let now = Instant::now();
     let mut pool = pool(now, 3);
     assert!(!fill(&mut pool, now).is_empty());
-    pool.set_evacuated(&set(&["there"]));
+    pool.set_evacuated(now, &set(&["there"]));
     let freed_there = pool.request_ended(now, &"r1".into(), RunnerOutcome::Served);
     assert!(freed_there.is_empty(), "{freed_there:?}");
     let freed_here = pool.request_ended(now, &"r0".into(), RunnerOutcome::Served);
@@ -110,7 +110,7 @@
 fn a_retry_or_a_resumption_is_refused_rather_than_queued_for_evacuated_runners() {
     let now = Instant::now();
     let mut pool = pool(now, 3);
-    pool.set_evacuated(&set(&["there", "away"]));
+    pool.set_evacuated(now, &set(&["there", "away"]));
     let retry = QueuedRequest {
         excluded: vec!["r0".into()],
         ..queued_request(now, 1)
@@ -124,7 +124,7 @@
     let now = Instant::now();
     let mut pool = pool(now, 3);
     let waiting = fill(&mut pool, now);
-    pool.set_evacuated(&set(&PLACES));
+    pool.set_evacuated(now, &set(&PLACES));
     let decided = pool.dispatch_queued(now);
     assert_eq!(decided.len(), waiting.len());
     let is_refused =
@@ -141,7 +141,7 @@
 fn a_name_that_is_no_data_centre_changes_nothing() {
     let now = Instant::now();
     let mut pool = pool(now, 3);
-    pool.set_evacuated(&set(&["nowhere"]));
+    pool.set_evacuated(now, &set(&["nowhere"]));
     assert_eq!(pool.evacuated_count(), 0);
     assert_eq!(pool.counts_in(&"nowhere".into()), (0, 0));
     for queue_id in 0..9 {
@@ -154,7 +154,7 @@
 fn runners_that_register_in_an_evacuated_data_centre_get_no_requests() {
     let now = Instant::now();
     let mut pool = pool(now, 1);
-    pool.set_evacuated(&set(&["there"]));
+    pool.set_evacuated(now, &set(&["there"]));
     pool.set_runners(now, vec![runner_in(0), runner_in(1)]);
     for queue_id in 0..20 {
         let admission = pool.admit(now, queued_request(now, queue_id));
@@ -178,7 +178,7 @@
         while pool.request_counts().1 < 6 {
             pool.admit(now, queued_request(now, 0));
         }
-        pool.set_evacuated(&set(evacuated));
+        pool.set_evacuated(now, &set(evacuated));
         matches!(
             pool.admit(now, queued_request(now, 1)),
             Admission::Reject { .. }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -27,6 +27,7 @@
 use wisteriawick_core::collections::HashMap;
 use wisteriawick_core::gateway::Admission;
 use wisteriawick_core::gateway::BrokenTogether;
+use wisteriawick_core::gateway::ColdLimit;
 use wisteriawick_core::gateway::CrashNote;
 use wisteriawick_core::gateway::CrashSuspect;
 use wisteriawick_core::gateway::Declaration;
@@ -232,6 +233,8 @@
             let engine = target.engine.as_ref();
             let cost = MoveCost::new(&self.settings.place, &target.delays, engine);
             service_state.pool.set_move_cost(now, cost);
+            let cold_limit = self.cold_limit(target);
+            service_state.pool.set_cold_limit(now, cold_limit);
             service_state
                 .pool
                 .set_runners(now, runner_registry.of_service(&target.id));
@@ -249,16 +252,23 @@
         // Read under the lock of the pools, so that the last change is the last applied.
         let places = self.evacuations.lock().places();
         for service_state in services.values_mut() {
-            service_state.pool.set_evacuated(&places);
+            service_state.pool.set_evacuated(now, &places);
             let dequeued = service_state.pool.dispatch_queued(now);
             service_state.deliver(now, dequeued);
         }
     }
 
+    /// Returns the bound for a service's runners that may be cold; `None` if the service
+    /// declares no cold start or the deployment states no bound.
+    fn cold_limit(&self, target: &ServiceTarget) -> Option<ColdLimit> {
+        let allowance = self.settings.bounds.cold_allowance?;
+        Some(ColdLimit::new(target.cold_start?, allowance))
+    }
+
     fn new_service(&self, now: Instant, limits: PoolLimits) -> ServiceState {
         let bounds = &self.settings.bounds;
         let mut pool = Pool::new(now, self.settings.place.clone(), limits, self.next_seed());
-        pool.set_evacuated(&self.evacuations.lock().places());
+        pool.set_evacuated(now, &self.evacuations.lock().places());
         ServiceState {
             pool,
             budget: WindowedRetryBudget::new(
@@ -318,6 +328,11 @@
         lock(&self.entry_count).get(now)
     }
 
+    /// Returns [`EntryCount::get_settled`].
+    pub(crate) fn settled_entries(&self, now: Instant) -> u16 {
+        lock(&self.entry_count).get_settled(now)
+    }
+
     pub(crate) fn set_has_runner_list(&self) {
         self.has_runner_list.store(true, Ordering::Relaxed);
     }
@@ -519,10 +534,15 @@
             let resting = service_state.pool.resting_count(now);
             gauge!(telemetry::RESTING_RUNNERS, "service" => label.clone()).set(resting as f64);
             let evacuated = service_state.pool.evacuated_count();
-            gauge!(telemetry::EVACUATED_RUNNERS, "service" => label).set(evacuated as f64);
+            gauge!(telemetry::EVACUATED_RUNNERS, "service" => label.clone()).set(evacuated as f64);
             service_state
                 .departures
                 .report(service, &service_state.pool, &self.log);
+            let cold = service_state.pool.cold_count(now);
+            gauge!(telemetry::COLD_RUNNERS, "service" => label).set(cold as f64);
+            for change in service_state.pool.take_cold_changes(now) {
+                self.log_cold(&change);
+            }
             if service_state.waiters.is_empty() {
                 continue;
             }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -69,6 +69,8 @@
 /// Whether the known evacuations may be older than the settings allow, since the store has
 /// not confirmed them for that long.
 pub const EVACUATIONS_UNCONFIRMED: &str = "wisteriawick_evacuations_unconfirmed";
+/// Runners that count as cold, by service.
+pub const COLD_RUNNERS: &str = "wisteriawick_cold_runners";
 /// Runners that said in a response that they are leaving, before the store listed it.
 pub const LEAVING_ANNOUNCED: &str = "wisteriawick_leaving_announced_total";
 /// Switches of the expert map completed by all ranks.
