--- a/crates/core/src/gateway/locality/decision.rs
+++ b/crates/core/src/gateway/locality/decision.rs
@@ -23,9 +23,18 @@
 /// Share below which no request leaves.
 const NEGLIGIBLE_SHARE: f64 = 0.01;
 
+/// Share of all slots in use from which on runners are chosen without regard to their data
+/// centre. A group then waits for its fullest rank in each pass, and callers gain more from
+/// an even load than from a short way.
+const BUSY_SHARE: f64 = 0.5;
+/// Share of all slots in use below which the data centre counts again.
+const CALM_SHARE: f64 = 0.4;
+
 /// Where a request goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Preference {
+    /// To any runner, since all are busy.
+    Anywhere,
     /// To a runner of the entry's data centre, to others only without room there.
     Home,
     /// To a runner of another data centre, to one at home only without room there.
@@ -41,6 +50,8 @@
     pub home: PlaceLoad,
     /// The load elsewhere then.
     pub elsewhere: PlaceLoad,
+    /// Whether the runners are so busy that all data centres are used alike.
+    pub is_busy: bool,
 }
 
 /// Keeps the share of one service's requests that leaves the entry's data centre.
@@ -62,6 +73,7 @@
                 share: 0.0,
                 home: PlaceLoad::default(),
                 elsewhere: PlaceLoad::default(),
+                is_busy: false,
             },
             adapted_at: now,
             due: 0.0,
@@ -119,13 +131,27 @@
             share: if is_returned { 0.0 } else { share },
             home,
             elsewhere,
+            is_busy: self.is_busy_with(home, elsewhere),
         };
         self.adapted_at = now;
     }
 
+    fn is_busy_with(&self, home: PlaceLoad, elsewhere: PlaceLoad) -> bool {
+        let slots = f64::from(home.slots.saturating_add(elsewhere.slots).max(1));
+        let requests = f64::from(home.requests.saturating_add(elsewhere.requests));
+        let bound = match self.state.is_busy {
+            true => CALM_SHARE,
+            false => BUSY_SHARE,
+        };
+        requests / slots >= bound
+    }
+
     /// Returns where the next request goes first. The requests that leave are spread evenly
     /// over all.
     pub fn preference(&self) -> Preference {
+        if self.state.is_busy {
+            return Preference::Anywhere;
+        }
         let is_due = self.due + self.state.share >= 1.0;
         match is_due && self.state.share >= NEGLIGIBLE_SHARE {
             true => Preference::Elsewhere,
--- a/crates/core/src/gateway/pool/locality.rs
+++ b/crates/core/src/gateway/pool/locality.rs
@@ -21,6 +21,8 @@
     pub no_room: u64,
     /// A runner elsewhere was better by far: those at home fail, are slow, cold or fuller.
     pub unfit: u64,
+    /// The runners were so busy that all data centres were used alike.
+    pub busy: u64,
 }
 
 /// Why a request is sent to another data centre.
@@ -31,6 +33,7 @@
     Surplus,
     NoRoom,
     Unfit,
+    Busy,
 }
 
 /// A runner that could take a request.
@@ -105,7 +108,8 @@
         let gain = home.score - elsewhere.score;
         Some(match preference {
             None if gain > 0.0 => (elsewhere.id, Departure::None),
-            None => (home.id, Departure::None),
+            Some(Preference::Anywhere) if gain > 0.0 => (elsewhere.id, Departure::Busy),
+            None | Some(Preference::Anywhere) => (home.id, Departure::None),
             Some(Preference::Elsewhere) if -gain > elsewhere.slack => (home.id, Departure::None),
             Some(Preference::Elsewhere) => (elsewhere.id, Departure::Surplus),
             Some(Preference::Home) if gain > home.slack => (elsewhere.id, Departure::Unfit),
@@ -202,6 +206,7 @@
             Departure::Surplus => self.departures.surplus += 1,
             Departure::NoRoom => self.departures.no_room += 1,
             Departure::Unfit => self.departures.unfit += 1,
+            Departure::Busy => self.departures.busy += 1,
         }
         if let Some(locality) = &mut self.locality {
             locality.record_sent(departure != Departure::None);
--- a/src/gateway/departures.rs
+++ b/src/gateway/departures.rs
@@ -34,6 +34,7 @@
             ("surplus", departures.surplus),
             ("no room", departures.no_room),
             ("unfit", departures.unfit),
+            ("busy", departures.busy),
         ];
         for (reason, total) in by_reason {
             counter!(telemetry::DEPARTURES, "service" => label.clone(), "reason" => reason)
