Pool: refusals of runners without reports are judged one by one

What callers saw: with 100 machines in front of 999 runners, requests were refused although runners had room. Cause: the refusals of all runners of unknown group were kept under one key. One refusal stopped all of them, and one request at a time tried them. Evidence: one_refusal_does_not_stop_the_runners_without_reports failed before: 0 of 100 requests were sent to 299 runners with room. Change: a bound for each runner from its own responses, and a doubt about runners of unknown group that have not responded since several refused. A gauge and two events show it. This change itself is not measured yet.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -31,6 +31,7 @@
 mod rest_notice;
 mod retry;
 mod runner_registry;
+mod silent_runners;
 mod smoothed_rate;
 mod sound_parts;
 mod stop_schedule;
--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -12,6 +12,7 @@
 mod request;
 mod rests;
 mod runner;
+mod silent;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -29,6 +30,9 @@
 use crate::gateway::pool::health::Health;
 use crate::gateway::pool::limiter::Limiter;
 use crate::gateway::pool::runner::Runner;
+use crate::gateway::pool::silent::Doubted;
+use crate::gateway::silent_runners::Bound;
+use crate::gateway::silent_runners::Doubt;
 use crate::gateway::smoothed_rate::SmoothedRate;
 use crate::hosting::ListedRunner;
 use crate::ids::PlaceId;
@@ -104,6 +108,8 @@
     /// Groups that get none because nothing is heard of them. While they have no request,
     /// one may try them.
     silent_groups: Vec<Arc<str>>,
+    /// Runners of unknown group that may refuse requests; `None` without a doubt.
+    doubted: Option<Doubted>,
 }
 
 /// The runners of one service, as known to this entry, and the requests queued
@@ -114,9 +120,10 @@
     limits: PoolLimits,
     runners: BTreeMap<RunnerId, Runner>,
     queue: Vec<QueuedRequest>,
-    /// Groups that refused requests, by name; `None` stands for all runners whose
-    /// group is unknown.
-    refusing_groups: BTreeMap<Option<Arc<str>>, RefusingGroup>,
+    /// Groups that refused requests, by name.
+    refusing_groups: BTreeMap<Arc<str>, RefusingGroup>,
+    /// Whether runners whose group is unknown accept requests.
+    doubt: Doubt,
     /// Groups of which nothing was heard since several of their runners fell silent.
     standing_groups: BTreeSet<Arc<str>>,
     /// Completed requests per second.
@@ -138,6 +145,7 @@
             runners: BTreeMap::new(),
             queue: Vec::new(),
             refusing_groups: BTreeMap::new(),
+            doubt: Doubt::default(),
             standing_groups: BTreeSet::new(),
             completion_rate: SmoothedRate::new(now),
             demand: SmoothedRate::new(now),
@@ -167,6 +175,7 @@
                         known.health = Health::new(now);
                         known.clear_report();
                         known.limiter = Limiter::new(now);
+                        known.bound = Bound::default();
                         known.resting_until = None;
                         known.record_sign_of_life(now);
                     }
@@ -188,9 +197,6 @@
         if let Some(runner) = self.runners.values_mut().find(at_address) {
             runner.receive_report(now, load);
         }
-        // From now on reports name the groups, so the refusals of runners whose
-        // group was unknown no longer apply.
-        self.refusing_groups.remove(&None);
     }
 
     /// Returns whether a runner's group has reported passes recently. A request
@@ -270,7 +276,10 @@
         }
         match outcome {
             RunnerOutcome::Busy => self.back_off_after_refusal(now, id),
-            RunnerOutcome::Served => self.mark_group_open(id),
+            RunnerOutcome::Served => {
+                self.mark_group_open(id);
+                self.silent_runner_responded(now, id);
+            }
             _ => self.end_probe(id),
         }
         self.dispatch_queued(now)
@@ -285,9 +294,12 @@
         let is_full = runner.total_requests(now) >= runner.listed.slots;
         if is_full || !self.limits.has_groups {
             runner.health.back_off_until(now + REFUSAL_BACKOFF);
+            runner.bound.was_full(now, &self.limits);
             return;
         }
-        let group = runner.group().cloned();
+        let Some(group) = runner.group().cloned() else {
+            return self.back_off_silent(now, id);
+        };
         let refusing = self.refusing_groups.entry(group).or_insert(RefusingGroup {
             refusals: 0,
             until: now,
@@ -305,6 +317,7 @@
     /// requests. Returns the requests that leave the queue.
     pub fn response_began(&mut self, now: Instant, id: &RunnerId) -> Vec<DequeuedRequest> {
         self.mark_group_open(id);
+        self.silent_runner_responded(now, id);
         self.record_sign_of_life(now, id);
         self.dispatch_queued(now)
     }
@@ -313,6 +326,7 @@
     pub fn record_sign_of_life(&mut self, now: Instant, id: &RunnerId) {
         if let Some(runner) = self.runners.get_mut(id) {
             runner.record_sign_of_life(now);
+            runner.bound.event_arrived(now, &self.limits);
             if let Some(group) = runner.group() {
                 self.standing_groups.remove(group);
             }
@@ -320,19 +334,15 @@
     }
 
     fn mark_group_open(&mut self, id: &RunnerId) {
-        if self.refusing_groups.is_empty() {
-            return;
-        }
-        if let Some(runner) = self.runners.get(id) {
-            self.refusing_groups.remove(&runner.group().cloned());
-            // Runners of unknown group may belong to this one.
-            self.refusing_groups.remove(&None);
+        if let Some(group) = self.runners.get(id).and_then(Runner::group) {
+            self.refusing_groups.remove(group);
         }
     }
 
     fn end_probe(&mut self, id: &RunnerId) {
         if let Some(runner) = self.runners.get(id)
-            && let Some(refusing) = self.refusing_groups.get_mut(&runner.group().cloned())
+            && let Some(group) = runner.group()
+            && let Some(refusing) = self.refusing_groups.get_mut(group)
         {
             refusing.probes = refusing.probes.saturating_sub(1);
         }
@@ -341,8 +351,9 @@
     /// Returns whether a request may be sent to a runner's group. After refusals,
     /// one request at a time probes the group.
     fn group_may_be_tried(&self, now: Instant, runner: &Runner) -> bool {
-        self.refusing_groups
-            .get(&runner.group().cloned())
+        runner
+            .group()
+            .and_then(|group| self.refusing_groups.get(group))
             .is_none_or(|refusing| now >= refusing.until && refusing.probes == 0)
     }
 
@@ -387,6 +398,7 @@
         Exclusions {
             ejected: self.excludes_ejected(now),
             silent_groups: self.tried_groups(),
+            doubted: self.doubted(now),
         }
     }
 
@@ -448,6 +460,7 @@
             && !excluded.contains(&runner.listed.id)
             && runner.limiter.allows(now, &runner.listed.id, &self.share)
             && self.group_may_be_tried(now, runner)
+            && self.silent_runner_may_be_tried(now, runner, exclusions)
     }
 
     fn select(&mut self, now: Instant, request: &QueuedRequest) -> Option<Selection> {
@@ -478,7 +491,9 @@
         let is_counted = runner.limiter.state.limit().is_some();
         runner.limiter.take(now, &best, &self.share);
         runner.request_started(now);
-        if let Some(refusing) = self.refusing_groups.get_mut(&runner.group().cloned()) {
+        if let Some(group) = runner.group()
+            && let Some(refusing) = self.refusing_groups.get_mut(group)
+        {
             refusing.probes += 1;
         }
         Some(Selection {
--- a/crates/core/src/gateway/pool/runner.rs
+++ b/crates/core/src/gateway/pool/runner.rs
@@ -9,6 +9,7 @@
 use crate::gateway::PoolLimits;
 use crate::gateway::pool::health::Health;
 use crate::gateway::pool::limiter::Limiter;
+use crate::gateway::silent_runners::Bound;
 use crate::hosting::ListedRunner;
 use crate::hosting::ListedState;
 
@@ -32,6 +33,8 @@
     recent_changes: VecDeque<(Instant, i32)>,
     pub(super) health: Health,
     pub(super) limiter: Limiter,
+    /// Bounds the requests while there are no reports.
+    pub(super) bound: Bound,
     /// Until when the runner has asked to be left alone.
     pub(super) resting_until: Option<Instant>,
     /// Since when the runner has had requests without a sign of life.
@@ -58,6 +61,7 @@
             recent_changes: VecDeque::new(),
             health: Health::new(now),
             limiter: Limiter::new(now),
+            bound: Bound::default(),
             resting_until: None,
             silent_since: None,
             last_report: None,
@@ -125,6 +129,9 @@
     pub(super) fn request_ended(&mut self, now: Instant) {
         let was_silent = self.is_silent(now);
         self.in_flight = self.in_flight.saturating_sub(1);
+        if self.in_flight == 0 {
+            self.bound.became_idle();
+        }
         if self.in_flight == 0 && !was_silent {
             self.silent_since = None;
         }
@@ -213,7 +220,7 @@
         }
         match self.fresh_report(now) {
             Some(report) => self.total_requests(now) < limits.at_pass_time(&report.load),
-            None => self.in_flight < limits.max_without_report,
+            None => self.in_flight < self.bound.requests(limits),
         }
     }
 
--- /dev/null
+++ b/crates/core/src/gateway/silent_runners/window.rs
@@ -0,0 +1,69 @@
+//! Bounds the requests that try runners which may refuse them.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// Pause after a refusal: about two passes. Doubles with the next one, since a group needs
+/// a second or more to form again.
+const PAUSE: Duration = Duration::from_millis(120);
+/// Maximum number of doublings of [`PAUSE`].
+const MAX_DOUBLINGS: u32 = 1;
+
+/// How many requests several runners may have together: half as many after a refusal, one
+/// more after each response.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Window {
+    requests: u32,
+    /// Pauses since a response last began.
+    pauses: u32,
+    paused_until: Option<Instant>,
+}
+
+impl Window {
+    /// Returns a window without a bound, until the first refusal.
+    pub(crate) fn unlimited() -> Self {
+        Self {
+            requests: u32::MAX,
+            pauses: 0,
+            paused_until: None,
+        }
+    }
+
+    /// Returns a window of one request.
+    pub(crate) fn single() -> Self {
+        Self {
+            requests: 1,
+            ..Self::unlimited()
+        }
+    }
+
+    pub(crate) fn is_single(&self) -> bool {
+        self.requests == 1
+    }
+
+    /// Returns whether one more request is allowed beside `requests`.
+    pub(crate) fn allows(&self, now: Instant, requests: u32) -> bool {
+        requests < self.requests && self.paused_until.is_none_or(|until| now >= until)
+    }
+
+    /// Records a refusal while the runners have `requests` requests.
+    pub(crate) fn refused(&mut self, requests: u32) {
+        self.requests = (self.requests.min(requests) / 2).max(1);
+    }
+
+    /// Allows no request for a time. A pause that has begun does not get longer.
+    pub(crate) fn pause(&mut self, now: Instant) {
+        if self.paused_until.is_none_or(|until| now >= until) {
+            let doublings = self.pauses.min(MAX_DOUBLINGS);
+            self.paused_until = Some(now + PAUSE * 2u32.pow(doublings));
+            self.pauses += 1;
+        }
+    }
+
+    /// Records that one of the runners began a response.
+    pub(crate) fn responded(&mut self) {
+        self.requests = self.requests.saturating_add(1);
+        self.pauses = 0;
+        self.paused_until = None;
+    }
+}
--- a/crates/core/tests/gateway_pool/main.rs
+++ b/crates/core/tests/gateway_pool/main.rs
@@ -6,5 +6,6 @@
 mod resting;
 mod restored_store;
 mod runner_registry;
+mod silent_runners;
 mod support;
 mod waiting;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -88,6 +88,8 @@
     stream_times: ResponseTimes,
     plain_times: ResponseTimes,
     /// Where the decision about each queued request is sent.
+    /// Whether runners of unknown group were doubted when that was last logged.
+    has_doubt: bool,
     waiters: HashMap<QueuedRequestId, oneshot::Sender<Admission>>,
 }
 
@@ -236,6 +238,7 @@
             ),
             stream_times: ResponseTimes::default(),
             plain_times: ResponseTimes::default(),
+            has_doubt: false,
             waiters: HashMap::default(),
         }
     }
@@ -480,7 +483,10 @@
             let limited = service_state.pool.limited_count();
             gauge!(telemetry::LIMITED_RUNNERS, "service" => label.clone()).set(limited as f64);
             let resting = service_state.pool.resting_count(now);
-            gauge!(telemetry::RESTING_RUNNERS, "service" => label).set(resting as f64);
+            gauge!(telemetry::RESTING_RUNNERS, "service" => label.clone()).set(resting as f64);
+            let doubted = service_state.pool.doubted_count(now);
+            gauge!(telemetry::DOUBTED_RUNNERS, "service" => label).set(doubted as f64);
+            service_state.log_doubt(&self.log, service, doubted);
             if service_state.waiters.is_empty() {
                 continue;
             }
@@ -499,6 +505,24 @@
         }
     }
 
+    /// Logs when runners of unknown group begin to be doubted and when all are trusted.
+    fn log_doubt(&mut self, log: &EventLog, service: &ServiceId, doubted: usize) {
+        let has_doubt = doubted > 0;
+        if std::mem::replace(&mut self.has_doubt, has_doubt) == has_doubt {
+            return;
+        }
+        match has_doubt {
+            true => {
+                let fields = json!({"service": service.as_str(), "runners": doubted});
+                log.line(EventCategory::Failure, "runners_doubted", fields);
+            }
+            false => {
+                let fields = json!({"service": service.as_str()});
+                log.line(EventCategory::State, "runners_trusted", fields);
+            }
+        }
+    }
+
     /// Sends decisions to the tasks of queued requests. If the caller has
     /// disconnected, the assigned slot is released for the next request.
     fn deliver(&mut self, now: Instant, mut dequeued: Vec<DequeuedRequest>) {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -57,6 +57,8 @@
 pub const LIMITED_RUNNERS: &str = "wisteriawick_limited_runners";
 /// Runners that want no request for a time after they refused one, by service.
 pub const RESTING_RUNNERS: &str = "wisteriawick_resting_runners";
+/// Runners of unknown group that may refuse requests, as far as refusals show, by service.
+pub const DOUBTED_RUNNERS: &str = "wisteriawick_doubted_runners";
 /// Runners that said in a response that they are leaving, before the store listed it.
 pub const LEAVING_ANNOUNCED: &str = "wisteriawick_leaving_announced_total";
 /// Switches of the expert map completed by all ranks.
