Pool: a group that stays closed is tried seldom while others serve

Cause: a group that lacks ranks never opens. Its idle runners look least loaded, and nearest to the entries of their data centre. An entry with three requests a second sent nearly each of them there first, as the pause after a refusal is 240 ms, and its share of the retry budget was soon spent. Evidence: few_requests_try_a_closed_group_while_another_one_serves: before, 100 of 100 requests were sent to the closed group first; now at most 12 if its name is known and 18 if not. Change: the pauses double up to 3.8 s while other groups respond; while nothing responds they are as before. A report that a group has opened ends its pause.

--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -9,6 +9,7 @@
 mod limiter;
 mod limits;
 mod rate_limits;
+mod refusing_group;
 mod request;
 mod rests;
 mod runner;
@@ -29,6 +30,7 @@
 use crate::gateway::LoadReport;
 use crate::gateway::pool::health::Health;
 use crate::gateway::pool::limiter::Limiter;
+use crate::gateway::pool::refusing_group::RefusingGroup;
 use crate::gateway::pool::runner::Runner;
 use crate::gateway::pool::silent::Doubted;
 use crate::gateway::silent_runners::Bound;
@@ -49,12 +51,8 @@
 pub use request::RunnerOutcome;
 pub use request::Selection;
 
-/// How long a runner or group gets no requests after it refused one: about two
-/// passes. Doubles with each further refusal of a group, which needs a second or
-/// more to form again.
+/// How long a full runner gets no requests after it refused one: about two passes.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(120);
-/// Maximum number of doublings of [`REFUSAL_BACKOFF`].
-const MAX_DOUBLINGS: u32 = 1;
 /// Bounds of the retry time that a rejection states.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
@@ -88,18 +86,6 @@
 /// errors, the cause is in the requests or there is no better runner.
 const MAX_EJECTED_SHARE: f64 = 0.5;
 
-/// A group whose runners refused requests while they had room.
-#[derive(Clone, Copy, Debug)]
-struct RefusingGroup {
-    /// Refusals since the group last served a request. Refusals during a backoff
-    /// are not counted again.
-    refusals: u32,
-    /// Until when the group gets no requests.
-    until: Instant,
-    /// Requests in flight that probe whether the group accepts requests again.
-    probes: u32,
-}
-
 /// Which runners get no requests for now.
 #[derive(Clone, Debug)]
 struct Exclusions {
@@ -108,6 +94,9 @@
     /// Groups that get none because nothing is heard of them. While they have no request,
     /// one may try them.
     silent_groups: Vec<Arc<str>>,
+    /// Groups that respond, as far as that matters to one that refuses; `None` stands for
+    /// runners of unknown group.
+    responding_groups: Vec<Option<Arc<str>>>,
     /// Runners of unknown group that may refuse requests; `None` without a doubt.
     doubted: Option<Doubted>,
 }
@@ -194,9 +183,15 @@
     /// Stores the load report of the runner at an address.
     pub fn update_load(&mut self, now: Instant, address: SocketAddr, load: &LoadReport) {
         let at_address = |runner: &&mut Runner| runner.listed.address == address;
-        if let Some(runner) = self.runners.values_mut().find(at_address) {
-            runner.receive_report(now, load);
+        let Some(runner) = self.runners.values_mut().find(at_address) else {
+            return;
+        };
+        if runner.opens_with(load)
+            && let Some(group) = runner.group()
+        {
+            self.refusing_groups.remove(group);
         }
+        runner.receive_report(now, load);
     }
 
     /// Returns whether a runner's group has reported passes recently. A request
@@ -300,17 +295,8 @@
         let Some(group) = runner.group().cloned() else {
             return self.back_off_silent(now, id);
         };
-        let refusing = self.refusing_groups.entry(group).or_insert(RefusingGroup {
-            refusals: 0,
-            until: now,
-            probes: 0,
-        });
-        if now >= refusing.until {
-            let doublings = refusing.refusals.min(MAX_DOUBLINGS);
-            refusing.until = now + REFUSAL_BACKOFF * 2u32.pow(doublings);
-            refusing.refusals += 1;
-        }
-        refusing.probes = refusing.probes.saturating_sub(1);
+        let refusing = self.refusing_groups.entry(group).or_default();
+        refusing.refused(now);
     }
 
     /// Records that a runner began a response, which shows that its group accepts
@@ -344,19 +330,10 @@
             && let Some(group) = runner.group()
             && let Some(refusing) = self.refusing_groups.get_mut(group)
         {
-            refusing.probes = refusing.probes.saturating_sub(1);
+            refusing.probe_ended();
         }
     }
 
-    /// Returns whether a request may be sent to a runner's group. After refusals,
-    /// one request at a time probes the group.
-    fn group_may_be_tried(&self, now: Instant, runner: &Runner) -> bool {
-        runner
-            .group()
-            .and_then(|group| self.refusing_groups.get(group))
-            .is_none_or(|refusing| now >= refusing.until && refusing.probes == 0)
-    }
-
     /// Adds the groups of which nothing is heard, though several of their runners have
     /// requests. All ranks of a group make their passes together.
     fn update_standing_groups(&mut self, now: Instant) {
@@ -398,6 +375,7 @@
         Exclusions {
             ejected: self.excludes_ejected(now),
             silent_groups: self.tried_groups(),
+            responding_groups: self.responding_groups(now),
             doubted: self.doubted(now),
         }
     }
@@ -459,7 +437,7 @@
             && runner.has_room(now, &self.limits)
             && !excluded.contains(&runner.listed.id)
             && runner.limiter.allows(now, &runner.listed.id, &self.share)
-            && self.group_may_be_tried(now, runner)
+            && self.group_may_be_tried(now, runner, exclusions)
             && self.silent_runner_may_be_tried(now, runner, exclusions)
     }
 
@@ -494,7 +472,7 @@
         if let Some(group) = runner.group()
             && let Some(refusing) = self.refusing_groups.get_mut(group)
         {
-            refusing.probes += 1;
+            refusing.probe_began();
         }
         Some(Selection {
             runner: runner.listed.clone(),
--- a/crates/core/src/gateway/pool/runner.rs
+++ b/crates/core/src/gateway/pool/runner.rs
@@ -176,6 +176,13 @@
         self.last_report = None;
     }
 
+    /// Returns whether a report says that the runner's group has opened.
+    pub(super) fn opens_with(&self, load: &LoadReport) -> bool {
+        let is_open = |load: &LoadReport| load.group.as_ref().is_some_and(|group| group.is_open);
+        let last = self.last_report.as_ref();
+        is_open(load) && last.is_some_and(|last| !is_open(&last.load))
+    }
+
     pub(super) fn last_report(&self) -> Option<&ReceivedReport> {
         self.last_report.as_ref()
     }
--- a/crates/core/src/gateway/pool/silent.rs
+++ b/crates/core/src/gateway/pool/silent.rs
@@ -111,7 +111,10 @@
         match standing {
             Standing::Heard => !runner.bound.is_refusing(now),
             Standing::Unheard | Standing::Refusing => {
-                self.doubt.allows(now, standing, &doubted.requests)
+                let mut responding = exclusions.responding_groups.iter();
+                let groups_respond = responding.any(Option::is_some);
+                self.doubt
+                    .allows(now, standing, &doubted.requests, groups_respond)
             }
         }
     }
--- a/crates/core/src/gateway/silent_runners/doubt.rs
+++ b/crates/core/src/gateway/silent_runners/doubt.rs
@@ -11,8 +11,8 @@
 /// Refusals by different runners, without a response in between, from which on others are
 /// expected to refuse too. A single runner may be closed by itself.
 const MIN_REFUSALS: u32 = 2;
-/// Time without a refusal after which the doubt is over.
-const MAX_AGE: Duration = Duration::from_secs(2);
+/// Time without a refusal after which the doubt is over: two of the longest pauses.
+const MAX_AGE: Duration = Duration::from_secs(8);
 
 /// The doubt whether runners of unknown group accept requests.
 ///
@@ -55,23 +55,26 @@
     }
 
     /// Returns whether a runner of this standing may get one more request.
+    /// `groups_respond` states whether runners whose group is known respond.
     pub(crate) fn allows(
         &self,
         now: Instant,
         standing: Standing,
         requests: &DoubtedRequests,
+        groups_respond: bool,
     ) -> bool {
         let Some(mut doubted) = self.current(now).copied() else {
             return true;
         };
-        let nothing_responds = self.nothing_responds() && doubted.unheard.is_single();
+        let is_alone = self.nothing_responds() && doubted.unheard.is_single();
         let Some(window) = doubted.window(standing) else {
             return true;
         };
-        match nothing_responds {
-            true => window.allows(now, requests.unheard + requests.refusing),
-            false => window.allows(now, requests.at(standing)),
-        }
+        let requests = match is_alone {
+            true => requests.unheard + requests.refusing,
+            false => requests.at(standing),
+        };
+        window.allows(now, requests, groups_respond || !is_alone)
     }
 
     /// Records that a runner of this standing refused a request, which is among `requests`.
--- a/crates/core/tests/gateway_pool/silent_runners.rs
+++ b/crates/core/tests/gateway_pool/silent_runners.rs
@@ -6,13 +6,16 @@
 use std::time::Instant;
 
 use wisteriawick_core::gateway::DequeuedRequest;
+use wisteriawick_core::gateway::LoadReport;
 use wisteriawick_core::gateway::Pool;
+use wisteriawick_core::gateway::QueuedRequest;
 use wisteriawick_core::gateway::RunnerOutcome;
 use wisteriawick_core::hosting::ListedRunner;
 use wisteriawick_core::ids::RunnerId;
 
 use crate::support::LIMITS;
 use crate::support::queued_request;
+use crate::support::report;
 use crate::support::runner;
 use crate::support::selected_runner;
 
@@ -165,3 +168,87 @@
     assert!(running as u32 > LIMITS.max_without_report, "{running}");
     assert!(running as u32 <= LIMITS.max_per_runner, "{running}");
 }
+
+/// Sends a request every 300 ms for a minute to 4 runners of an open group, which reports,
+/// and 4 nearer ones that refuse. Returns how many of the last hundred were refused.
+fn refused_of_last_hundred(report_of_closed: Option<LoadReport>) -> usize {
+    let start = Instant::now();
+    let mut pool = Pool::new(start, "here".into(), LIMITS, 1);
+    let mut runners: Vec<_> = (0..8).map(silent_runner).collect();
+    for far in &mut runners[4..] {
+        far.place = "there".into();
+    }
+    pool.set_runners(start, runners);
+    if let Some(report) = &report_of_closed {
+        for n in 0..4 {
+            pool.update_load(start, silent_runner(n).address, report);
+        }
+    }
+    let mut refused = Vec::new();
+    for step in 0..200 {
+        let now = start + Duration::from_millis(300 * step);
+        for n in 4..8 {
+            pool.update_load(now, silent_runner(n).address, &report(1, true));
+        }
+        let mut id = selected_runner(pool.admit(now, queued_request(now, step))).expect("room");
+        refused.push(is_below(&id, 4));
+        if is_below(&id, 4) {
+            pool.request_ended(now, &id, RunnerOutcome::Busy);
+            let retry = QueuedRequest {
+                excluded: vec![id],
+                ..queued_request(now, step)
+            };
+            id = selected_runner(pool.admit(now, retry)).expect("room");
+        }
+        match is_below(&id, 4) {
+            true => drop(pool.request_ended(now, &id, RunnerOutcome::Busy)),
+            false => {
+                pool.response_began(now, &id);
+                pool.request_ended(now, &id, RunnerOutcome::Served);
+            }
+        }
+    }
+    refused[100..].iter().filter(|refused| **refused).count()
+}
+
+/// An entry in the data centre of a group that lacks ranks prefers its idle runners. If
+/// more requests were refused than the retry budget has retries, callers would get the
+/// refusals while other groups serve.
+#[test]
+fn few_requests_try_a_closed_group_while_another_one_serves() {
+    let mut closed = report(0, false);
+    if let Some(group) = &mut closed.group {
+        group.name = "lacks ranks".into();
+    }
+    let refused = refused_of_last_hundred(Some(closed));
+    assert!((1..=12).contains(&refused), "{refused} by a known group");
+    let refused = refused_of_last_hundred(None);
+    assert!((1..=18).contains(&refused), "{refused} by an unknown group");
+}
+
+/// The report that a group has opened ends its pause.
+#[test]
+fn a_closed_group_gets_requests_once_it_reports_that_it_is_open() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut pool = silent_pool(start, 2);
+    let [first, second] = [0, 1].map(|n| silent_runner(n).address);
+    let mut other = report(1, true);
+    if let Some(group) = &mut other.group {
+        group.name = "other".into();
+    }
+    for step in 0..20 {
+        let now = at(500 * step);
+        pool.update_load(now, first, &other);
+        let closed = report(0, false);
+        pool.update_load(now, second, &closed);
+        let refusing = RunnerId::from("r0001");
+        pool.request_ended(now, &refusing, RunnerOutcome::Busy);
+        pool.response_began(now, &RunnerId::from("r0000"));
+    }
+    let now = at(10_000);
+    pool.update_load(now, first, &other);
+    pool.update_load(now, second, &report(0, true));
+    let sent = send(&mut pool, now, 24);
+    assert!(sent.contains(&RunnerId::from("r0001")), "{sent:?}");
+}
