Pool: work per event no longer grows with queue times runners

Cause: each queued request looked at all runners at every response, also when the one before had found none; each rank of a report was searched for among all runners. Change: once a request that may use any runner finds none, no later one is looked up in the same pass; runners are indexed by address.

--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -26,6 +26,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::collections::HashMap;
 use crate::gateway::EntryShare;
 use crate::gateway::LoadReport;
 use crate::gateway::pool::health::Health;
@@ -108,6 +109,8 @@
     place: PlaceId,
     limits: PoolLimits,
     runners: BTreeMap<RunnerId, Runner>,
+    /// The runner at each address; a listed one if several are known there.
+    by_address: HashMap<SocketAddr, RunnerId>,
     queue: Vec<QueuedRequest>,
     /// Groups that refused requests, by name.
     refusing_groups: BTreeMap<Arc<str>, RefusingGroup>,
@@ -132,6 +135,7 @@
             place,
             limits,
             runners: BTreeMap::new(),
+            by_address: HashMap::default(),
             queue: Vec::new(),
             refusing_groups: BTreeMap::new(),
             doubt: Doubt::default(),
@@ -178,12 +182,25 @@
             }
         }
         self.runners.retain(|_, runner| !runner.is_forgettable(now));
+        self.index_addresses();
+    }
+
+    /// Indexes the runners by address, since a report of a group names dozens of them.
+    fn index_addresses(&mut self) {
+        self.by_address.clear();
+        let (unlisted, listed): (Vec<_>, Vec<_>) = self
+            .runners
+            .iter()
+            .partition(|(_, runner)| runner.is_unlisted);
+        for (id, runner) in unlisted.into_iter().chain(listed) {
+            self.by_address.insert(runner.listed.address, id.clone());
+        }
     }
 
     /// Stores the load report of the runner at an address.
     pub fn update_load(&mut self, now: Instant, address: SocketAddr, load: &LoadReport) {
-        let at_address = |runner: &&mut Runner| runner.listed.address == address;
-        let Some(runner) = self.runners.values_mut().find(at_address) else {
+        let id = self.by_address.get(&address);
+        let Some(runner) = id.and_then(|id| self.runners.get_mut(id)) else {
             return;
         };
         if runner.opens_with(load)
@@ -395,8 +412,17 @@
             )
         };
         self.queue.sort_by_key(sort_key);
+        // Once a request that may use any runner finds none, no later one does. With
+        // thousands of runners, a look for each of hundreds of requests takes a tenth of a
+        // second.
+        let mut has_room = true;
         for request in std::mem::take(&mut self.queue) {
-            let admission = match self.select(now, &request) {
+            let selection = match has_room {
+                true => self.select(now, &request),
+                false => None,
+            };
+            has_room &= selection.is_some() || !request.excluded.is_empty();
+            let admission = match selection {
                 Some(selection) => Admission::Run(selection),
                 None if now >= request.deadline => self.reject(),
                 None => match self.all_rest(now, &request) {
--- a/crates/core/tests/gateway_pool/choice.rs
+++ b/crates/core/tests/gateway_pool/choice.rs
@@ -5,6 +5,9 @@
 
 use wisteriawick_core::gateway::Admission;
 use wisteriawick_core::gateway::Pool;
+use wisteriawick_core::gateway::QueuedRequest;
+use wisteriawick_core::gateway::QueuedRequestId;
+use wisteriawick_core::hosting::ListedRunner;
 use wisteriawick_core::ids::RunnerId;
 
 use crate::support::LIMITS;
@@ -139,3 +142,38 @@
     assert!(!sent[..24].contains(&slow), "{sent:?}");
     assert!(sent[24..].iter().all(|id| *id == slow), "{sent:?}");
 }
+
+/// A runner that left with requests in flight is kept, and another one has started at its
+/// address since.
+#[test]
+fn a_report_is_of_the_runner_that_is_listed_at_the_address() {
+    let now = Instant::now();
+    let mut pool = pool(now, 1);
+    assert!(selected_runner(pool.admit(now, queued_request(now, 1))).is_some());
+    let successor = ListedRunner {
+        id: "successor".into(),
+        ..runner(0)
+    };
+    pool.set_runners(now, vec![successor]);
+    pool.update_load(now, address(0), &report(0, false));
+    assert_eq!(pool.admit(now, queued_request(now, 2)), Admission::Wait);
+}
+
+/// A request that must not return to the only runner with room waits; the one behind it
+/// takes that room.
+#[test]
+fn a_queued_request_that_may_use_no_runner_with_room_does_not_stop_the_next() {
+    let now = Instant::now();
+    let mut pool = pool(now, 1);
+    pool.update_load(now, address(0), &report(12, true));
+    let first = QueuedRequest {
+        excluded: vec!["r0".into()],
+        ..queued_request(now, 1)
+    };
+    assert_eq!(pool.admit(now, first), Admission::Wait);
+    assert_eq!(pool.admit(now, queued_request(now, 2)), Admission::Wait);
+    pool.update_load(now, address(0), &report(0, true));
+    let dequeued = pool.dispatch_queued(now);
+    assert_eq!(dequeued.len(), 1);
+    assert_eq!(dequeued[0].queue_id, QueuedRequestId(2));
+}
