--- a/crates/core/src/gateway/pool/refusing_group.rs
+++ b/crates/core/src/gateway/pool/refusing_group.rs
@@ -51,7 +51,10 @@
     }
 
     fn is_paused(&self, now: Instant, max_doublings: u32) -> bool {
-        let doublings = self.refusals.saturating_sub(1).min(max_doublings);
+        self.is_within(now, self.refusals.saturating_sub(1).min(max_doublings))
+    }
+
+    fn is_within(&self, now: Instant, doublings: u32) -> bool {
         let pause = BACKOFF * 2u32.pow(doublings);
         self.refused_at
             .is_some_and(|at| now.saturating_duration_since(at) < pause)
@@ -94,10 +97,14 @@
             return true;
         };
         let mut responding = exclusions.responding_groups.iter();
-        let max_doublings = match responding.any(|other| other.as_ref() != Some(group)) {
-            true => MAX_DOUBLINGS_BESIDE_OTHERS,
-            false => MAX_DOUBLINGS,
+        let is_paused = match responding.any(|other| other.as_ref() != Some(group)) {
+            // A report that the group has opened ends the pause.
+            true if runner.was_reported_closed() => {
+                refusing.is_within(now, MAX_DOUBLINGS_BESIDE_OTHERS)
+            }
+            true => refusing.is_paused(now, MAX_DOUBLINGS_BESIDE_OTHERS),
+            false => refusing.is_paused(now, MAX_DOUBLINGS),
         };
-        refusing.probes == 0 && !refusing.is_paused(now, max_doublings)
+        refusing.probes == 0 && !is_paused
     }
 }
--- a/crates/core/src/gateway/pool/runner.rs
+++ b/crates/core/src/gateway/pool/runner.rs
@@ -178,9 +178,14 @@
 
     /// Returns whether a report says that the runner's group has opened.
     pub(super) fn opens_with(&self, load: &LoadReport) -> bool {
-        let is_open = |load: &LoadReport| load.group.as_ref().is_some_and(|group| group.is_open);
+        load.group.as_ref().is_some_and(|group| group.is_open) && self.was_reported_closed()
+    }
+
+    /// Returns whether the last report, also an old one, says that the group is closed.
+    pub(super) fn was_reported_closed(&self) -> bool {
         let last = self.last_report.as_ref();
-        is_open(load) && last.is_some_and(|last| !is_open(&last.load))
+        last.and_then(|last| last.load.group.as_ref())
+            .is_some_and(|group| !group.is_open)
     }
 
     pub(super) fn last_report(&self) -> Option<&ReceivedReport> {
--- a/crates/core/tests/gateway_pool/silent_runners.rs
+++ b/crates/core/tests/gateway_pool/silent_runners.rs
@@ -170,8 +170,9 @@
 }
 
 /// Sends a request every 300 ms for a minute to 4 runners of an open group, which reports,
-/// and 4 nearer ones that refuse. Returns how many of the last hundred were refused.
-fn refused_of_last_hundred(report_of_closed: Option<LoadReport>) -> usize {
+/// and 4 nearer ones that refuse. Returns how many of the first twenty and of the last
+/// hundred were refused.
+fn refused_of_first_and_last(report_of_closed: Option<LoadReport>) -> (usize, usize) {
     let start = Instant::now();
     let mut pool = Pool::new(start, "here".into(), LIMITS, 1);
     let mut runners: Vec<_> = (0..8).map(silent_runner).collect();
@@ -208,7 +209,8 @@
             }
         }
     }
-    refused[100..].iter().filter(|refused| **refused).count()
+    let count = |refused: &[bool]| refused.iter().filter(|refused| **refused).count();
+    (count(&refused[..20]), count(&refused[100..]))
 }
 
 /// An entry in the data centre of a group that lacks ranks prefers its idle runners. If
@@ -220,10 +222,11 @@
     if let Some(group) = &mut closed.group {
         group.name = "lacks ranks".into();
     }
-    let refused = refused_of_last_hundred(Some(closed));
-    assert!((1..=12).contains(&refused), "{refused} by a known group");
-    let refused = refused_of_last_hundred(None);
-    assert!((1..=18).contains(&refused), "{refused} by an unknown group");
+    let (first, last) = refused_of_first_and_last(Some(closed));
+    assert!(first <= 3, "{first} by a known group");
+    assert!((1..=9).contains(&last), "{last} by a known group");
+    let (_, last) = refused_of_first_and_last(None);
+    assert!((1..=18).contains(&last), "{last} by an unknown group");
 }
 
 /// The report that a group has opened ends its pause.
