--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -12,9 +12,11 @@
 mod limits;
 mod locality;
 mod rate_limits;
+mod refusing_group;
 mod request;
 mod rests;
 mod runner;
+mod silent;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -27,6 +29,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::collections::HashMap;
 use crate::gateway::ColdSource;
 use crate::gateway::EntryShare;
 use crate::gateway::LoadReport;
@@ -37,7 +40,11 @@
 use crate::gateway::pool::limiter::Limiter;
 use crate::gateway::pool::locality::Candidate;
 use crate::gateway::pool::locality::NearestFirst;
+use crate::gateway::pool::refusing_group::RefusingGroup;
 use crate::gateway::pool::runner::Runner;
+use crate::gateway::pool::silent::Doubted;
+use crate::gateway::silent_runners::Bound;
+use crate::gateway::silent_runners::Doubt;
 use crate::gateway::smoothed_rate::SmoothedRate;
 use crate::hosting::ListedRunner;
 use crate::ids::PlaceId;
@@ -56,12 +63,8 @@
 pub use request::RunnerOutcome;
 pub use request::Selection;
 
-/// How long a runner or group gets no requests after it refused one: about two
-/// passes. Doubles with each further refusal of a group, which needs a second or
-/// more to form again.
+/// How long a full runner gets no requests after it refused one: about two passes.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(120);
-/// Maximum number of doublings of [`REFUSAL_BACKOFF`].
-const MAX_DOUBLINGS: u32 = 1;
 /// Bounds of the retry time that a rejection states.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
@@ -95,18 +98,6 @@
 /// errors, the cause is in the requests or there is no better runner.
 const MAX_EJECTED_SHARE: f64 = 0.5;
 
-/// A group whose runners refused requests while they had room.
-#[derive(Clone, Copy, Debug)]
-struct RefusingGroup {
-    /// Refusals since the group last served a request. Refusals during a backoff
-    /// are not counted again.
-    refusals: u32,
-    /// Until when the group gets no requests.
-    until: Instant,
-    /// Requests in flight that probe whether the group accepts requests again.
-    probes: u32,
-}
-
 /// Which runners get no requests for now.
 #[derive(Clone, Debug)]
 struct Exclusions {
@@ -117,6 +108,11 @@
     silent_groups: Vec<Arc<str>>,
     /// What runners that are or may be cold get.
     cold_quotas: Option<ColdQuotas>,
+    /// Groups that respond, as far as that matters to one that refuses; `None` stands for
+    /// runners of unknown group.
+    responding_groups: Vec<Option<Arc<str>>>,
+    /// Runners of unknown group that may refuse requests; `None` without a doubt.
+    doubted: Option<Doubted>,
 }
 
 /// The runners of one service, as known to this entry, and the requests queued
@@ -126,10 +122,13 @@
     place: PlaceId,
     limits: PoolLimits,
     runners: BTreeMap<RunnerId, Runner>,
+    /// The runner at each address; a listed one if several are known there.
+    by_address: HashMap<SocketAddr, RunnerId>,
     queue: Vec<QueuedRequest>,
-    /// Groups that refused requests, by name; `None` stands for all runners whose
-    /// group is unknown.
-    refusing_groups: BTreeMap<Option<Arc<str>>, RefusingGroup>,
+    /// Groups that refused requests, by name.
+    refusing_groups: BTreeMap<Arc<str>, RefusingGroup>,
+    /// Whether runners whose group is unknown accept requests.
+    doubt: Doubt,
     /// Groups of which nothing was heard since several of their runners fell silent.
     standing_groups: BTreeSet<Arc<str>>,
     /// Completed requests per second.
@@ -159,8 +158,10 @@
             place,
             limits,
             runners: BTreeMap::new(),
+            by_address: HashMap::default(),
             queue: Vec::new(),
             refusing_groups: BTreeMap::new(),
+            doubt: Doubt::default(),
             standing_groups: BTreeSet::new(),
             completion_rate: SmoothedRate::new(now),
             demand: SmoothedRate::new(now),
@@ -200,6 +201,7 @@
                         known.health = Health::new(now);
                         known.clear_report();
                         known.limiter = Limiter::new(now, &listed.id);
+                        known.bound = Bound::default();
                         known.resting_until = None;
                         known.record_sign_of_life(now);
                     }
@@ -225,22 +227,38 @@
         }
         self.runners.retain(|_, runner| !runner.is_forgettable(now));
         self.mark_evacuated();
+        self.index_addresses();
+    }
+
+    /// Indexes the runners by address, since a report of a group names dozens of them.
+    fn index_addresses(&mut self) {
+        self.by_address.clear();
+        let (unlisted, listed): (Vec<_>, Vec<_>) = self
+            .runners
+            .iter()
+            .partition(|(_, runner)| runner.is_unlisted);
+        for (id, runner) in unlisted.into_iter().chain(listed) {
+            self.by_address.insert(runner.listed.address, id.clone());
+        }
     }
 
     /// Stores the load report of the runner at an address.
     pub fn update_load(&mut self, now: Instant, address: SocketAddr, load: &LoadReport) {
         let cold_time = self.cold_time();
-        let at_address = |runner: &&mut Runner| runner.listed.address == address;
-        if let Some(runner) = self.runners.values_mut().find(at_address) {
-            if let Some(time) = cold_time.filter(|_| runner.is_group_formed_by(load)) {
-                let cold = &mut runner.limiter.cold;
-                cold.assume(now, time, ColdSource::GroupFormed);
-            }
-            runner.receive_report(now, load);
+        let id = self.by_address.get(&address);
+        let Some(runner) = id.and_then(|id| self.runners.get_mut(id)) else {
+            return;
+        };
+        if let Some(time) = cold_time.filter(|_| runner.is_group_formed_by(load)) {
+            let cold = &mut runner.limiter.cold;
+            cold.assume(now, time, ColdSource::GroupFormed);
+        }
+        if runner.opens_with(load)
+            && let Some(group) = runner.group()
+        {
+            self.refusing_groups.remove(group);
         }
-        // From now on reports name the groups, so the refusals of runners whose
-        // group was unknown no longer apply.
-        self.refusing_groups.remove(&None);
+        runner.receive_report(now, load);
     }
 
     /// Returns whether a runner's group has reported passes recently. A request
@@ -325,7 +343,10 @@
         }
         match outcome {
             RunnerOutcome::Busy => self.back_off_after_refusal(now, id),
-            RunnerOutcome::Served => self.mark_group_open(id),
+            RunnerOutcome::Served => {
+                self.mark_group_open(id);
+                self.silent_runner_responded(now, id);
+            }
             _ => self.end_probe(id),
         }
         self.dispatch_queued(now)
@@ -340,26 +361,21 @@
         let is_full = runner.total_requests(now) >= runner.listed.slots;
         if is_full || !self.limits.has_groups {
             runner.health.back_off_until(now + REFUSAL_BACKOFF);
+            runner.bound.was_full(now, &self.limits);
             return;
         }
-        let group = runner.group().cloned();
-        let refusing = self.refusing_groups.entry(group).or_insert(RefusingGroup {
-            refusals: 0,
-            until: now,
-            probes: 0,
-        });
-        if now >= refusing.until {
-            let doublings = refusing.refusals.min(MAX_DOUBLINGS);
-            refusing.until = now + REFUSAL_BACKOFF * 2u32.pow(doublings);
-            refusing.refusals += 1;
-        }
-        refusing.probes = refusing.probes.saturating_sub(1);
+        let Some(group) = runner.group().cloned() else {
+            return self.back_off_silent(now, id);
+        };
+        let refusing = self.refusing_groups.entry(group).or_default();
+        refusing.refused(now);
     }
 
     /// Records that a runner began a response, which shows that its group accepts
     /// requests. Returns the requests that leave the queue.
     pub fn response_began(&mut self, now: Instant, id: &RunnerId) -> Vec<DequeuedRequest> {
         self.mark_group_open(id);
+        self.silent_runner_responded(now, id);
         self.record_sign_of_life(now, id);
         self.dispatch_queued(now)
     }
@@ -368,6 +384,7 @@
     pub fn record_sign_of_life(&mut self, now: Instant, id: &RunnerId) {
         if let Some(runner) = self.runners.get_mut(id) {
             runner.record_sign_of_life(now);
+            runner.bound.event_arrived(now, &self.limits);
             if let Some(group) = runner.group() {
                 self.standing_groups.remove(group);
             }
@@ -375,32 +392,20 @@
     }
 
     fn mark_group_open(&mut self, id: &RunnerId) {
-        if self.refusing_groups.is_empty() {
-            return;
-        }
-        if let Some(runner) = self.runners.get(id) {
-            self.refusing_groups.remove(&runner.group().cloned());
-            // Runners of unknown group may belong to this one.
-            self.refusing_groups.remove(&None);
+        if let Some(group) = self.runners.get(id).and_then(Runner::group) {
+            self.refusing_groups.remove(group);
         }
     }
 
     fn end_probe(&mut self, id: &RunnerId) {
         if let Some(runner) = self.runners.get(id)
-            && let Some(refusing) = self.refusing_groups.get_mut(&runner.group().cloned())
+            && let Some(group) = runner.group()
+            && let Some(refusing) = self.refusing_groups.get_mut(group)
         {
-            refusing.probes = refusing.probes.saturating_sub(1);
+            refusing.probe_ended();
         }
     }
 
-    /// Returns whether a request may be sent to a runner's group. After refusals,
-    /// one request at a time probes the group.
-    fn group_may_be_tried(&self, now: Instant, runner: &Runner) -> bool {
-        self.refusing_groups
-            .get(&runner.group().cloned())
-            .is_none_or(|refusing| now >= refusing.until && refusing.probes == 0)
-    }
-
     /// Adds the groups of which nothing is heard, though several of their runners have
     /// requests. All ranks of a group make their passes together.
     fn update_standing_groups(&mut self, now: Instant) {
@@ -443,6 +448,8 @@
             ejected: self.excludes_ejected(now),
             silent_groups: self.tried_groups(),
             cold_quotas: self.cold_quotas(now),
+            responding_groups: self.responding_groups(now),
+            doubted: self.doubted(now),
         }
     }
 
@@ -461,8 +468,17 @@
             )
         };
         self.queue.sort_by_key(sort_key);
+        // Once a request that may use any runner finds none, no later one does. With
+        // thousands of runners, a look for each of hundreds of requests takes a tenth of a
+        // second.
+        let mut has_room = true;
         for request in std::mem::take(&mut self.queue) {
-            let admission = match self.select(now, &request) {
+            let selection = match has_room {
+                true => self.select(now, &request),
+                false => None,
+            };
+            has_room &= selection.is_some() || !request.excluded.is_empty();
+            let admission = match selection {
                 Some(selection) => Admission::Run(selection),
                 None if now >= request.deadline => self.reject(self.lack_of_room(now, &request)),
                 None => match self.reject_unavailable(now, &request) {
@@ -515,7 +531,8 @@
             && !runner.group().is_some_and(is_group_silent)
             && runner.has_room(now, &self.limits)
             && !excluded.contains(&runner.listed.id)
-            && self.group_may_be_tried(now, runner)
+            && self.group_may_be_tried(now, runner, exclusions)
+            && self.silent_runner_may_be_tried(now, runner, exclusions)
     }
 
     fn is_within_limits(&self, now: Instant, runner: &Runner, exclusions: &Exclusions) -> bool {
@@ -569,8 +586,10 @@
         runner.limiter.take(now, &best, &share);
         runner.take_cold(now, quotas);
         runner.request_started(now);
-        if let Some(refusing) = self.refusing_groups.get_mut(&runner.group().cloned()) {
-            refusing.probes += 1;
+        if let Some(group) = runner.group()
+            && let Some(refusing) = self.refusing_groups.get_mut(group)
+        {
+            refusing.probe_began();
         }
         Some(Selection {
             runner: runner.listed.clone(),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -93,6 +93,8 @@
     plain_times: ResponseTimes,
     departures: DepartureLog,
     /// Where the decision about each queued request is sent.
+    /// Whether runners of unknown group were doubted when that was last logged.
+    has_doubt: bool,
     waiters: HashMap<QueuedRequestId, oneshot::Sender<Admission>>,
 }
 
@@ -280,6 +282,7 @@
             stream_times: ResponseTimes::default(),
             plain_times: ResponseTimes::default(),
             departures: DepartureLog::default(),
+            has_doubt: false,
             waiters: HashMap::default(),
         }
     }
@@ -539,10 +542,13 @@
                 .departures
                 .report(service, &service_state.pool, &self.log);
             let cold = service_state.pool.cold_count(now);
-            gauge!(telemetry::COLD_RUNNERS, "service" => label).set(cold as f64);
+            gauge!(telemetry::COLD_RUNNERS, "service" => label.clone()).set(cold as f64);
             for change in service_state.pool.take_cold_changes(now) {
                 self.log_cold(&change);
             }
+            let doubted = service_state.pool.doubted_count(now);
+            gauge!(telemetry::DOUBTED_RUNNERS, "service" => label).set(doubted as f64);
+            service_state.log_doubt(&self.log, service, doubted);
             if service_state.waiters.is_empty() {
                 continue;
             }
@@ -561,6 +567,24 @@
         }
     }
 
+    /// Logs when runners of unknown group begin to be doubted and when all are trusted.
+    fn log_doubt(&mut self, log: &EventLog, service: &ServiceId, doubted: usize) {
+        let has_doubt = doubted > 0;
+        if std::mem::replace(&mut self.has_doubt, has_doubt) == has_doubt {
+            return;
+        }
+        match has_doubt {
+            true => {
+                let fields = json!({"service": service.as_str(), "runners": doubted});
+                log.line(EventCategory::Failure, "runners_doubted", fields);
+            }
+            false => {
+                let fields = json!({"service": service.as_str()});
+                log.line(EventCategory::State, "runners_trusted", fields);
+            }
+        }
+    }
+
     /// Sends decisions to the tasks of queued requests. If the caller has
     /// disconnected, the assigned slot is released for the next request.
     fn deliver(&mut self, now: Instant, mut dequeued: Vec<DequeuedRequest>) {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -71,6 +71,8 @@
 pub const EVACUATIONS_UNCONFIRMED: &str = "wisteriawick_evacuations_unconfirmed";
 /// Runners that count as cold, by service.
 pub const COLD_RUNNERS: &str = "wisteriawick_cold_runners";
+/// Runners of unknown group that may refuse requests, as far as refusals show, by service.
+pub const DOUBTED_RUNNERS: &str = "wisteriawick_doubted_runners";
 /// Runners that said in a response that they are leaving, before the store listed it.
 pub const LEAVING_ANNOUNCED: &str = "wisteriawick_leaving_announced_total";
 /// Switches of the expert map completed by all ranks.
