Pool: an urgent request doesn't wait for what it overtakes; the least urgent gives way

Cause: the expected wait counted every queued request, also those that an urgent one passes; with a full queue an urgent request was refused while less urgent ones waited; strict order could starve the least urgent. A caller that was refused in an overload was told to return while it lasted.

Change: the wait counts what starts before a request (priority, can be on time, due). In an overload, which is a queue that has not been empty for half a second, the arrivals of more urgent requests are subtracted from the rate. The newest of the least urgent, of the workspace with most of them queued, gives way when the queue is full or its turn comes too late; it is refused as not run at once. Each priority is owed a third of its part of the completions. Retry times are spread, the urgent first, within a third of the caller's time. Once a request that any runner may take gets no slot, dispatch asks for no other.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -9,6 +9,7 @@
 
 mod broken_together;
 mod common_parts;
+mod competition;
 mod crash_note;
 mod crash_record;
 mod crash_suspect;
--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -8,6 +8,7 @@
 mod health;
 mod limiter;
 mod limits;
+mod queueing;
 mod rate_limits;
 mod request;
 mod rests;
@@ -26,6 +27,7 @@
 
 use crate::gateway::EntryShare;
 use crate::gateway::LoadReport;
+use crate::gateway::competition::Competition;
 use crate::gateway::pool::health::Health;
 use crate::gateway::pool::limiter::Limiter;
 use crate::gateway::pool::runner::Runner;
@@ -51,9 +53,6 @@
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(120);
 /// Maximum number of doublings of [`REFUSAL_BACKOFF`].
 const MAX_DOUBLINGS: u32 = 1;
-/// Bounds of the retry time that a rejection states.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
 /// Age up to which a report shows that its group is making passes. A busy group
 /// reports with every pass, and a slow pass takes a quarter of a second.
 const MAX_PROGRESS_AGE: Duration = Duration::from_millis(500);
@@ -114,6 +113,9 @@
     limits: PoolLimits,
     runners: BTreeMap<RunnerId, Runner>,
     queue: Vec<QueuedRequest>,
+    /// Requests that left the queue for more urgent ones and whose tasks don't know yet.
+    displaced: Vec<DequeuedRequest>,
+    competition: Competition,
     /// Groups that refused requests, by name; `None` stands for all runners whose
     /// group is unknown.
     refusing_groups: BTreeMap<Option<Arc<str>>, RefusingGroup>,
@@ -137,6 +139,8 @@
             limits,
             runners: BTreeMap::new(),
             queue: Vec::new(),
+            displaced: Vec::new(),
+            competition: Competition::new(now),
             refusing_groups: BTreeMap::new(),
             standing_groups: BTreeSet::new(),
             completion_rate: SmoothedRate::new(now),
@@ -213,30 +217,6 @@
         (in_flight, self.queue.len())
     }
 
-    /// Assigns a request to a runner, queues it or rejects it.
-    pub fn admit(&mut self, now: Instant, request: QueuedRequest) -> Admission {
-        self.demand.record(now);
-        if now >= request.deadline {
-            return self.reject();
-        }
-        if let Some(selection) = self.select(now, &request) {
-            return Admission::Run(selection);
-        }
-        if let Some(rest) = self.all_rest(now, &request) {
-            return reject_until(rest);
-        }
-        if !self.may_queue(now, &request) {
-            return self.reject();
-        }
-        self.queue.push(request);
-        Admission::Wait
-    }
-
-    /// Removes a request from the queue after its caller disconnected.
-    pub fn cancel(&mut self, queue_id: QueuedRequestId) {
-        self.queue.retain(|request| request.queue_id != queue_id);
-    }
-
     /// Records that a request ended at a runner, and returns the requests that
     /// leave the queue.
     pub fn request_ended(
@@ -390,41 +370,6 @@
         }
     }
 
-    /// Assigns queued requests to runners and rejects those past their deadline.
-    ///
-    /// When one of two groups is lost, more requests arrive than can be executed.
-    /// In order of arrival, each would wait until it is late. Requests that can
-    /// still be on time therefore go first, and late ones use what is left.
-    pub fn dispatch_queued(&mut self, now: Instant) -> Vec<DequeuedRequest> {
-        let mut dequeued = Vec::new();
-        let sort_key = |request: &QueuedRequest| {
-            (
-                request.priority,
-                !request.can_be_on_time(now),
-                request.response_due,
-            )
-        };
-        self.queue.sort_by_key(sort_key);
-        for request in std::mem::take(&mut self.queue) {
-            let admission = match self.select(now, &request) {
-                Some(selection) => Admission::Run(selection),
-                None if now >= request.deadline => self.reject(),
-                None => match self.all_rest(now, &request) {
-                    Some(rest) => reject_until(rest),
-                    None => {
-                        self.queue.push(request);
-                        continue;
-                    }
-                },
-            };
-            dequeued.push(DequeuedRequest {
-                queue_id: request.queue_id,
-                admission,
-            });
-        }
-        dequeued
-    }
-
     /// Returns whether a runner outside `excluded` could take a request now.
     pub fn has_room_except(&self, now: Instant, excluded: &[RunnerId]) -> bool {
         let exclusions = self.exclusions(now);
@@ -529,37 +474,4 @@
         let ejected = self.runners.values().filter(is_ejected).count();
         ejected as f64 <= self.runners.len() as f64 * MAX_EJECTED_SHARE
     }
-
-    fn may_queue(&self, now: Instant, request: &QueuedRequest) -> bool {
-        if self.queue.len() >= self.limits.max_queued {
-            return false;
-        }
-        let remaining = request.deadline.saturating_duration_since(now);
-        self.expected_wait() <= remaining.mul_f64(self.limits.max_wait_share)
-    }
-
-    fn expected_wait(&self) -> Duration {
-        let ahead = self.queue.len() as f64;
-        let completion_rate = self.completion_rate.at_last_event();
-        if completion_rate <= 0.0 || ahead == 0.0 {
-            return Duration::ZERO;
-        }
-        Duration::from_secs_f64((ahead / completion_rate).min(MAX_RETRY_AFTER.as_secs_f64() * 10.0))
-    }
-
-    fn reject(&self) -> Admission {
-        let retry_after = self.expected_wait().clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        Admission::Reject {
-            retry_after,
-            reason: RejectReason::NoRoom,
-        }
-    }
-}
-
-/// Rejects a request that no runner takes before a time has passed.
-fn reject_until(rest: Duration) -> Admission {
-    Admission::Reject {
-        retry_after: rest,
-        reason: RejectReason::AllRest,
-    }
 }
--- a/crates/core/src/gateway/pool/request.rs
+++ b/crates/core/src/gateway/pool/request.rs
@@ -49,7 +49,7 @@
 
 impl QueuedRequest {
     /// Returns whether the response is on time if the request is sent now.
-    pub(super) fn can_be_on_time(&self, now: Instant) -> bool {
+    pub(in crate::gateway) fn can_be_on_time(&self, now: Instant) -> bool {
         now + EXPECTED_TIME_TO_RESPONSE <= self.response_due
     }
 }
@@ -86,6 +86,19 @@
     NoRoom,
     /// All runners that could take it have asked to be left alone.
     AllRest,
+    /// It was queued and left the queue for a more urgent request.
+    GaveWay,
+}
+
+impl RejectReason {
+    /// Returns a short name for metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::NoRoom => "no room",
+            Self::AllRest => "all rest",
+            Self::GaveWay => "gave way",
+        }
+    }
 }
 
 impl fmt::Display for RejectReason {
@@ -93,6 +106,7 @@
         f.write_str(match self {
             Self::NoRoom => "no room in time",
             Self::AllRest => "all runners rest",
+            Self::GaveWay => "gave way to a more urgent request",
         })
     }
 }
--- a/crates/core/tests/gateway_pool/main.rs
+++ b/crates/core/tests/gateway_pool/main.rs
@@ -1,10 +1,12 @@
 //! Tests of the pool of a service: admission, queueing and choice of runners.
 
 mod choice;
+mod competing;
 mod health;
 mod leaving;
 mod resting;
 mod restored_store;
 mod runner_registry;
+mod simulation;
 mod support;
 mod waiting;
--- a/src/gateway/exchange/replies.rs
+++ b/src/gateway/exchange/replies.rs
@@ -4,6 +4,7 @@
 
 use http::Response;
 use http::StatusCode;
+use metrics::counter;
 use serde_json::json;
 use wisteriawick_core::gateway::RejectReason;
 use wisteriawick_core::gateway::StopSchedule;
@@ -21,6 +22,12 @@
 use crate::gateway::response::response;
 use crate::gateway::slot_request::NoSlot;
 use crate::gateway::stop::Due;
+use crate::telemetry;
+
+/// Share of the time until their deadline that callers wait before they retry at most.
+const MAX_RETRY_SHARE: f64 = 1.0 / 3.0;
+/// Part of the longest time over which callers are spread that would return together.
+const RETRY_SPREAD: f64 = 0.25;
 
 impl Exchange {
     /// Responds that this process is stopping and did not take the request.
@@ -135,11 +142,23 @@
             return self.respond_unknown();
         }
         self.count_outcome("refused");
+        let priority = self.route_match.priority();
+        let retry_after = match reason {
+            RejectReason::AllRest => retry_after,
+            _ => self.honored_retry_after(retry_after),
+        };
         let counts = self.state.with_service(&self.service, |service_state| {
-            service_state.pool.request_counts()
+            let pool = &service_state.pool;
+            (pool.request_counts(), pool.queued_ahead(priority))
         });
-        let (in_flight, waiting) = counts.unwrap_or_default();
+        let ((in_flight, waiting), (more_urgent, equally_urgent)) = counts.unwrap_or_default();
+        let class = telemetry::priority_class(priority);
         let limit = attempts.retry().limit.map(|limit| limit.to_string());
+        let label = match limit {
+            Some(_) => "retry limit",
+            None => reason.label(),
+        };
+        counter!(telemetry::REFUSED, "class" => class, "reason" => label).increment(1);
         self.log(
             EventCategory::Failure,
             "refused",
@@ -147,6 +166,9 @@
                 "reason": limit.unwrap_or_else(|| reason.to_string()),
                 "in_flight": in_flight,
                 "waiting": waiting,
+                "priority": priority,
+                "more_urgent": more_urgent,
+                "equally_urgent": equally_urgent,
                 "retry_after_ms": retry_after.as_millis() as u64,
             }),
         );
@@ -159,6 +181,17 @@
         )
     }
 
+    /// Returns when the caller should retry, no later than callers wait. Callers whose
+    /// time is cut short are spread, so that they don't return together.
+    fn honored_retry_after(&self, retry_after: Duration) -> Duration {
+        let left = self.deadline.saturating_duration_since(self.state.now());
+        let longest = left.mul_f64(MAX_RETRY_SHARE);
+        match retry_after > longest {
+            true => longest.mul_f64(1.0 - RETRY_SPREAD * self.state.random_fraction()),
+            false => retry_after,
+        }
+    }
+
     /// Responds that the request may have been executed.
     pub(super) fn respond_unknown(&self) -> Response<Body> {
         self.count_outcome("unknown");
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -336,7 +336,10 @@
         let now = self.now();
         self.with_service(service, |service_state| {
             let queue_id = request.queue_id;
-            match service_state.pool.admit(now, request) {
+            let admission = service_state.pool.admit(now, request);
+            let displaced = service_state.pool.take_displaced();
+            service_state.deliver(now, displaced);
+            match admission {
                 Admission::Wait => {
                     let (tx, rx) = oneshot::channel();
                     service_state.waiters.insert(queue_id, tx);
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -33,6 +33,8 @@
 
 /// Requests completed by a gateway, by outcome.
 pub const REQUESTS: &str = "wisteriawick_requests_total";
+/// Requests that the pool refused, by priority class and reason.
+pub const REFUSED: &str = "wisteriawick_refused_requests_total";
 /// Attempts at runners without a response to relay, by outcome.
 pub const FAILED_ATTEMPTS: &str = "wisteriawick_failed_attempts_total";
 /// Streams resumed on another runner.
@@ -77,6 +79,8 @@
 const SECONDS_BUCKETS: [f64; 12] = [
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0,
 ];
+/// Names of the priority classes; the last one is for all other priorities.
+const PRIORITY_CLASSES: [&str; 5] = ["0", "1", "2", "3", "4 or more"];
 /// Time between two runs of the metrics recorder's maintenance.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -116,3 +120,9 @@
 pub fn init() -> Option<PrometheusHandle> {
     PrometheusBuilder::new().install_recorder().ok()
 }
+
+/// Returns the name of a priority's class. There are few, so that they serve as labels.
+pub fn priority_class(priority: u32) -> &'static str {
+    let last = PRIORITY_CLASSES.len() - 1;
+    PRIORITY_CLASSES[(priority as usize).min(last)]
+}
