Requests: among workspaces of equal priority the route's priority decides

Cause: the priority of a workspace replaced that of the route. Among equals those that can be on time go first, so that the kind with the shorter target stood behind the others.

Change: RouteMatch::rank puts the workspace's priority first and the route's second; queue, giving way and floors use it. The log line has both priorities; the metric's class is that of the route.

--- a/crates/core/src/gateway/declaration.rs
+++ b/crates/core/src/gateway/declaration.rs
@@ -189,7 +189,21 @@
     pub tenancy: Option<Tenancy>,
 }
 
+/// Number of priorities of routes that are told apart among requests of equal priority.
+const ROUTE_PRIORITIES: u32 = 1_024;
+
 impl RouteMatch {
+    /// Returns the request's place among all others; the lowest is the most urgent.
+    ///
+    /// The priority of a workspace goes before that of a route, which decides among the
+    /// requests of workspaces of equal priority.
+    pub fn rank(&self) -> u32 {
+        let of_route = self.route.priority.min(ROUTE_PRIORITIES - 1);
+        self.priority()
+            .saturating_mul(ROUTE_PRIORITIES)
+            .saturating_add(of_route)
+    }
+
     /// Returns the request's priority; zero is the most urgent.
     pub fn priority(&self) -> u32 {
         self.tenancy
--- a/crates/core/src/gateway/pool/request.rs
+++ b/crates/core/src/gateway/pool/request.rs
@@ -33,7 +33,8 @@
 pub struct QueuedRequest {
     /// Identifies the request while it is queued.
     pub queue_id: QueuedRequestId,
-    /// Priority; zero is the most urgent.
+    /// Its place among requests, see [`RouteMatch::rank`](crate::gateway::RouteMatch::rank);
+    /// zero is the most urgent.
     pub priority: u32,
     /// When the response must have begun to be on time.
     pub response_due: Instant,
--- a/crates/core/tests/gateway_request.rs
+++ b/crates/core/tests/gateway_request.rs
@@ -1,5 +1,6 @@
 //! Route matching, declarations, retries, retry budgets and crash tracking.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,6 +17,7 @@
 use wisteriawick_core::gateway::RetryPolicy;
 use wisteriawick_core::gateway::RetryState;
 use wisteriawick_core::gateway::Route;
+use wisteriawick_core::gateway::RouteMatch;
 use wisteriawick_core::gateway::Tenancy;
 use wisteriawick_core::gateway::WeightedService;
 use wisteriawick_core::gateway::WindowedRetryBudget;
@@ -99,6 +101,31 @@
     );
 }
 
+/// All workspaces have the same priority: the more urgent route goes first. Otherwise the
+/// workspace decides.
+#[test]
+fn among_workspaces_of_equal_priority_the_route_decides() {
+    let rank = |workspace: Option<u32>, route_priority: u32| {
+        let tenancy = workspace.map(|priority| Tenancy {
+            workspace: "gwydr".into(),
+            priority: Some(priority),
+        });
+        let route = Route {
+            priority: route_priority,
+            ..route("r", "/a/")
+        };
+        let route_match = RouteMatch {
+            route: Arc::new(route),
+            tenancy,
+        };
+        route_match.rank()
+    };
+    assert!(rank(Some(1), 0) < rank(Some(1), 2));
+    assert!(rank(Some(0), 9) < rank(Some(1), 0));
+    assert!(rank(None, 0) < rank(None, 1));
+    assert!(rank(Some(u32::MAX), 0) >= rank(Some(9), u32::MAX));
+}
+
 #[test]
 fn requests_of_a_route_are_split_by_weight() {
     let split = Route {
--- a/src/gateway/exchange/replies.rs
+++ b/src/gateway/exchange/replies.rs
@@ -142,17 +142,17 @@
             return self.respond_unknown();
         }
         self.count_outcome("refused");
-        let priority = self.route_match.priority();
+        let rank = self.route_match.rank();
         let retry_after = match reason {
             RejectReason::AllRest => retry_after,
             _ => self.honored_retry_after(retry_after),
         };
         let counts = self.state.with_service(&self.service, |service_state| {
             let pool = &service_state.pool;
-            (pool.request_counts(), pool.queued_ahead(priority))
+            (pool.request_counts(), pool.queued_ahead(rank))
         });
         let ((in_flight, waiting), (more_urgent, equally_urgent)) = counts.unwrap_or_default();
-        let class = telemetry::priority_class(priority);
+        let class = telemetry::priority_class(self.route_match.route.priority);
         let limit = attempts.retry().limit.map(|limit| limit.to_string());
         let label = match limit {
             Some(_) => "retry limit",
@@ -166,7 +166,8 @@
                 "reason": limit.unwrap_or_else(|| reason.to_string()),
                 "in_flight": in_flight,
                 "waiting": waiting,
-                "priority": priority,
+                "priority": self.route_match.priority(),
+                "route_priority": self.route_match.route.priority,
                 "more_urgent": more_urgent,
                 "equally_urgent": equally_urgent,
                 "retry_after_ms": retry_after.as_millis() as u64,
--- a/src/gateway/slot_request.rs
+++ b/src/gateway/slot_request.rs
@@ -64,7 +64,7 @@
     let latest_start = exchange.latest_start(slot_use);
     let request = QueuedRequest {
         queue_id,
-        priority: exchange.route_match.priority(),
+        priority: exchange.route_match.rank(),
         response_due: exchange.arrived + exchange.route_match.route.latency_target,
         deadline: latest_start,
         excluded: attempts.excluded().to_vec(),
