--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -10,6 +10,7 @@
 mod broken_together;
 mod cold;
 mod common_parts;
+mod competition;
 mod crash_note;
 mod crash_record;
 mod crash_suspect;
--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -11,6 +11,7 @@
 mod limiter;
 mod limits;
 mod locality;
+mod queueing;
 mod rate_limits;
 mod refusing_group;
 mod request;
@@ -34,6 +35,7 @@
 use crate::gateway::EntryShare;
 use crate::gateway::LoadReport;
 use crate::gateway::Locality;
+use crate::gateway::competition::Competition;
 use crate::gateway::pool::cold::ColdBound;
 use crate::gateway::pool::cold::ColdQuotas;
 use crate::gateway::pool::health::Health;
@@ -65,9 +67,6 @@
 
 /// How long a full runner gets no requests after it refused one: about two passes.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(120);
-/// Bounds of the retry time that a rejection states.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
 /// Age up to which a report shows that its group is making passes. A busy group
 /// reports with every pass, and a slow pass takes a quarter of a second.
 const MAX_PROGRESS_AGE: Duration = Duration::from_millis(500);
@@ -125,6 +124,9 @@
     /// The runner at each address; a listed one if several are known there.
     by_address: HashMap<SocketAddr, RunnerId>,
     queue: Vec<QueuedRequest>,
+    /// Requests that left the queue for more urgent ones and whose tasks don't know yet.
+    displaced: Vec<DequeuedRequest>,
+    competition: Competition,
     /// Groups that refused requests, by name.
     refusing_groups: BTreeMap<Arc<str>, RefusingGroup>,
     /// Whether runners whose group is unknown accept requests.
@@ -160,6 +162,8 @@
             runners: BTreeMap::new(),
             by_address: HashMap::default(),
             queue: Vec::new(),
+            displaced: Vec::new(),
+            competition: Competition::new(now),
             refusing_groups: BTreeMap::new(),
             doubt: Doubt::default(),
             standing_groups: BTreeSet::new(),
@@ -281,30 +285,6 @@
         (in_flight, self.queue.len())
     }
 
-    /// Assigns a request to a runner, queues it or rejects it.
-    pub fn admit(&mut self, now: Instant, request: QueuedRequest) -> Admission {
-        self.demand.record(now);
-        if now >= request.deadline {
-            return self.reject(RejectReason::NoRoom);
-        }
-        if let Some(selection) = self.select(now, &request) {
-            return Admission::Run(selection);
-        }
-        if let Some(rejection) = self.reject_unavailable(now, &request) {
-            return rejection;
-        }
-        if !self.may_queue(now, &request) {
-            return self.reject(self.lack_of_room(now, &request));
-        }
-        self.queue.push(request);
-        Admission::Wait
-    }
-
-    /// Removes a request from the queue after its caller disconnected.
-    pub fn cancel(&mut self, queue_id: QueuedRequestId) {
-        self.queue.retain(|request| request.queue_id != queue_id);
-    }
-
     /// Records that a request ended at a runner, and returns the requests that
     /// leave the queue.
     pub fn request_ended(
@@ -453,50 +433,6 @@
         }
     }
 
-    /// Assigns queued requests to runners and rejects those past their deadline.
-    ///
-    /// When one of two groups is lost, more requests arrive than can be executed.
-    /// In order of arrival, each would wait until it is late. Requests that can
-    /// still be on time therefore go first, and late ones use what is left.
-    pub fn dispatch_queued(&mut self, now: Instant) -> Vec<DequeuedRequest> {
-        let mut dequeued = Vec::new();
-        let sort_key = |request: &QueuedRequest| {
-            (
-                request.priority,
-                !request.can_be_on_time(now),
-                request.response_due,
-            )
-        };
-        self.queue.sort_by_key(sort_key);
-        // Once a request that may use any runner finds none, no later one does. With
-        // thousands of runners, a look for each of hundreds of requests takes a tenth of a
-        // second.
-        let mut has_room = true;
-        for request in std::mem::take(&mut self.queue) {
-            let selection = match has_room {
-                true => self.select(now, &request),
-                false => None,
-            };
-            has_room &= selection.is_some() || !request.excluded.is_empty();
-            let admission = match selection {
-                Some(selection) => Admission::Run(selection),
-                None if now >= request.deadline => self.reject(self.lack_of_room(now, &request)),
-                None => match self.reject_unavailable(now, &request) {
-                    Some(rejection) => rejection,
-                    None => {
-                        self.queue.push(request);
-                        continue;
-                    }
-                },
-            };
-            dequeued.push(DequeuedRequest {
-                queue_id: request.queue_id,
-                admission,
-            });
-        }
-        dequeued
-    }
-
     /// Returns whether a runner outside `excluded` could take a request now.
     pub fn has_room_except(&self, now: Instant, excluded: &[RunnerId]) -> bool {
         let exclusions = self.exclusions(now);
@@ -647,48 +583,4 @@
             .filter(|runner| runner.health.is_ejected(now));
         ejected.count() as f64 <= in_use.count() as f64 * MAX_EJECTED_SHARE
     }
-
-    fn may_queue(&self, now: Instant, request: &QueuedRequest) -> bool {
-        if self.queue.len() >= self.limits.max_queued {
-            return false;
-        }
-        let remaining = request.deadline.saturating_duration_since(now);
-        self.expected_wait() <= remaining.mul_f64(self.limits.max_wait_share)
-    }
-
-    fn expected_wait(&self) -> Duration {
-        let ahead = self.queue.len() as f64;
-        let completion_rate = self.completion_rate.at_last_event();
-        if completion_rate <= 0.0 || ahead == 0.0 {
-            return Duration::ZERO;
-        }
-        Duration::from_secs_f64((ahead / completion_rate).min(MAX_RETRY_AFTER.as_secs_f64() * 10.0))
-    }
-
-    /// Rejects a request that no runner takes, whatever room there is.
-    fn reject_unavailable(&self, now: Instant, request: &QueuedRequest) -> Option<Admission> {
-        if self.all_evacuated(request) {
-            return Some(Admission::Reject {
-                retry_after: MAX_RETRY_AFTER,
-                reason: RejectReason::AllEvacuated,
-            });
-        }
-        self.all_rest(now, request).map(reject_until)
-    }
-
-    fn reject(&self, reason: RejectReason) -> Admission {
-        let retry_after = self.expected_wait().clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        Admission::Reject {
-            retry_after,
-            reason,
-        }
-    }
-}
-
-/// Rejects a request that no runner takes before a time has passed.
-fn reject_until(rest: Duration) -> Admission {
-    Admission::Reject {
-        retry_after: rest,
-        reason: RejectReason::AllRest,
-    }
 }
--- a/crates/core/src/gateway/pool/request.rs
+++ b/crates/core/src/gateway/pool/request.rs
@@ -33,7 +33,8 @@
 pub struct QueuedRequest {
     /// Identifies the request while it is queued.
     pub queue_id: QueuedRequestId,
-    /// Priority; zero is the most urgent.
+    /// Its place among requests, see [`RouteMatch::rank`](crate::gateway::RouteMatch::rank);
+    /// zero is the most urgent.
     pub priority: u32,
     /// When the response must have begun to be on time.
     pub response_due: Instant,
@@ -49,7 +50,7 @@
 
 impl QueuedRequest {
     /// Returns whether the response is on time if the request is sent now.
-    pub(super) fn can_be_on_time(&self, now: Instant) -> bool {
+    pub(in crate::gateway) fn can_be_on_time(&self, now: Instant) -> bool {
         now + EXPECTED_TIME_TO_RESPONSE <= self.response_due
     }
 }
@@ -93,6 +94,21 @@
     AllEvacuated,
     /// All runners with room are or may be cold and get no more requests now.
     ColdLimit,
+    /// It was queued and left the queue for a more urgent request.
+    GaveWay,
+}
+
+impl RejectReason {
+    /// Returns a short name for metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::NoRoom => "no room",
+            Self::AllRest => "all rest",
+            Self::AllEvacuated => "all evacuated",
+            Self::ColdLimit => "cold limit",
+            Self::GaveWay => "gave way",
+        }
+    }
 }
 
 impl fmt::Display for RejectReason {
@@ -102,6 +118,7 @@
             Self::AllRest => "all runners rest",
             Self::AllEvacuated => "all runners evacuated",
             Self::ColdLimit => "no room at cold runners",
+            Self::GaveWay => "gave way to a more urgent request",
         })
     }
 }
--- a/crates/core/tests/gateway_pool/main.rs
+++ b/crates/core/tests/gateway_pool/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the pool of a service: admission, queueing and choice of runners.
 
 mod choice;
+mod competing;
 mod evacuated;
 mod health;
 mod leaving;
@@ -8,5 +9,6 @@
 mod restored_store;
 mod runner_registry;
 mod silent_runners;
+mod simulation;
 mod support;
 mod waiting;
