--- a/crates/core/tests/gateway_pool/main.rs
+++ b/crates/core/tests/gateway_pool/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the pool of a service: admission, queueing and choice of runners.
 
 mod choice;
+mod cold;
 mod health;
 mod leaving;
 mod resting;
