--- a/crates/core/src/gateway/pool.rs
+++ b/crates/core/src/gateway/pool.rs
@@ -507,19 +507,6 @@
         runner.limiter.allows(now, &runner.listed.id, allowance)
     }
 
-    /// Returns why no runner can take a request now.
-    fn lack_of_room(&self, now: Instant, request: &QueuedRequest) -> RejectReason {
-        let exclusions = self.exclusions(now);
-        let lacks_only_rate = |runner: &Runner| {
-            self.is_usable(now, runner, &request.excluded, &exclusions)
-                && !self.is_within_cold_limit(now, runner, exclusions.cold_quotas)
-        };
-        match self.runners.values().any(lacks_only_rate) {
-            true => RejectReason::ColdLimit,
-            false => RejectReason::NoRoom,
-        }
-    }
-
     fn select(&mut self, now: Instant, request: &QueuedRequest) -> Option<Selection> {
         self.update_standing_groups(now);
         let exclusions = self.exclusions(now);
--- a/crates/core/src/gateway/pool/cold.rs
+++ b/crates/core/src/gateway/pool/cold.rs
@@ -13,6 +13,8 @@
 use crate::gateway::EntryShare;
 use crate::gateway::LoadReport;
 use crate::gateway::Pool;
+use crate::gateway::QueuedRequest;
+use crate::gateway::RejectReason;
 use crate::gateway::pool::limiter::Allowance;
 use crate::gateway::pool::runner::Runner;
 use crate::gateway::token_bucket::MAX_SEND_DELAY;
@@ -210,7 +212,7 @@
     }
 
     /// Returns whether the bound for runners that may be cold allows a request now.
-    pub(super) fn is_within_cold_limit(
+    fn is_within_cold_limit(
         &self,
         now: Instant,
         runner: &Runner,
@@ -220,6 +222,19 @@
         runner.limiter.allows_cold(now, allowance.cold_quota)
     }
 
+    /// Returns why no runner can take a request now.
+    pub(super) fn lack_of_room(&self, now: Instant, request: &QueuedRequest) -> RejectReason {
+        let exclusions = self.exclusions(now);
+        let lacks_only_rate = |runner: &Runner| {
+            self.is_usable(now, runner, &request.excluded, &exclusions)
+                && !self.is_within_cold_limit(now, runner, exclusions.cold_quotas)
+        };
+        match self.runners.values().any(lacks_only_rate) {
+            true => RejectReason::ColdLimit,
+            false => RejectReason::NoRoom,
+        }
+    }
+
     /// Returns the requests in any second that each runner may get if what runners complete
     /// comes near the standing bound; zero as long as it does not.
     fn usual_requests(&self, now: Instant, bound: &ColdBound) -> u32 {
