Entry: callers whose time in the queue is over return spread, the urgent first

Callers saw: after an outage of a group, all callers whose requests had been queued until it was too late were told to return after half a second, together and whatever their priority.

Change: the pool states the retry time, as for other refusals; no refusal states under 100 ms when its caller's deadline is near.

Seen once: platform resting_runners, a_runner_that_asked_for_rest_gets_no_ request_until_it_is_over, failed at line 57 beside a release build, and passed when it was run again by itself.

--- a/crates/core/src/gateway/competition.rs
+++ b/crates/core/src/gateway/competition.rs
@@ -12,7 +12,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::gateway::QueuedRequest;
 use crate::gateway::competition::arrivals::Arrivals;
 use crate::gateway::competition::floors::Floors;
 
@@ -109,11 +108,11 @@
     pub(crate) fn retry_after(
         &self,
         now: Instant,
-        request: &QueuedRequest,
+        priority: u32,
         wait: Duration,
         random: f64,
     ) -> Duration {
-        let is_passed = self.arrivals.more_urgent(now, request.priority) > 0.0;
+        let is_passed = self.arrivals.more_urgent(now, priority) > 0.0;
         let overload = match is_passed {
             true => self.overload_age(now),
             false => Duration::ZERO,
--- a/crates/core/src/gateway/pool/queueing.rs
+++ b/crates/core/src/gateway/pool/queueing.rs
@@ -48,6 +48,19 @@
         std::mem::take(&mut self.displaced)
     }
 
+    /// Returns when a request of a priority that got no slot in time should come back.
+    pub fn retry_after(&mut self, now: Instant, priority: u32) -> Duration {
+        let (more_urgent, equally_urgent) = self.queued_ahead(priority);
+        let ahead = Ahead {
+            all: more_urgent + equally_urgent,
+            equally_urgent,
+        };
+        let completion_rate = self.completion_rate.at_last_event();
+        let competition = &self.competition;
+        let wait = competition.wait(now, ahead, priority, completion_rate);
+        competition.retry_after(now, priority, wait, self.rng.random())
+    }
+
     /// Removes a request from the queue after its caller disconnected.
     pub fn cancel(&mut self, queue_id: QueuedRequestId) {
         self.queue.retain(|request| request.queue_id != queue_id);
@@ -179,7 +192,9 @@
         let wait = self.expected_wait(now, request);
         let random = self.rng.random();
         Admission::Reject {
-            retry_after: self.competition.retry_after(now, request, wait, random),
+            retry_after: self
+                .competition
+                .retry_after(now, request.priority, wait, random),
             reason,
         }
     }
--- a/crates/core/tests/gateway_pool/competing.rs
+++ b/crates/core/tests/gateway_pool/competing.rs
@@ -161,6 +161,29 @@
     assert!(urgent.last() < others.first(), "{urgent:?} {others:?}");
 }
 
+/// A group froze, so that nothing completes: the whole queue runs out of time at once.
+#[test]
+fn callers_whose_time_in_the_queue_is_over_do_not_return_together() {
+    let start = Instant::now();
+    let mut pool = busy_pool(start);
+    for queue_id in 200..208 {
+        pool.admit(start, with_priority(start, queue_id, 2));
+    }
+    let now = start + Duration::from_secs(2);
+    let mut times: Vec<_> = (0..20).map(|_| pool.retry_after(now, 2)).collect();
+    times.sort();
+    times.dedup();
+    assert!(times.len() > 10, "{times:?}");
+    assert!(
+        times[0] >= Duration::from_secs(2),
+        "the overload lasts: {times:?}"
+    );
+    assert!(
+        pool.retry_after(now, 0) < times[0],
+        "the urgent return first"
+    );
+}
+
 const URGENT: usize = 0;
 const OTHER: usize = 1;
 
--- a/src/gateway/exchange/replies.rs
+++ b/src/gateway/exchange/replies.rs
@@ -26,6 +26,8 @@
 
 /// Share of the time until their deadline that callers wait before they retry at most.
 const MAX_RETRY_SHARE: f64 = 1.0 / 3.0;
+/// Shortest time that a refusal states.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Part of the longest time over which callers are spread that would return together.
 const RETRY_SPREAD: f64 = 0.25;
 
@@ -186,7 +188,7 @@
     /// time is cut short are spread, so that they don't return together.
     fn honored_retry_after(&self, retry_after: Duration) -> Duration {
         let left = self.deadline.saturating_duration_since(self.state.now());
-        let longest = left.mul_f64(MAX_RETRY_SHARE);
+        let longest = left.mul_f64(MAX_RETRY_SHARE).max(MIN_RETRY_AFTER);
         match retry_after > longest {
             true => longest.mul_f64(1.0 - RETRY_SPREAD * self.state.random_fraction()),
             false => retry_after,
--- a/src/gateway/slot_request.rs
+++ b/src/gateway/slot_request.rs
@@ -47,6 +47,16 @@
         retry_after: RETRY_AFTER_WAIT,
         reason: RejectReason::NoRoom,
     };
+
+    /// Returns that no slot became free in time, and when there is room.
+    fn not_in_time(exchange: &Exchange) -> Self {
+        let rank = exchange.route_match.rank();
+        let retry_after = exchange.state.retry_after(&exchange.service, rank);
+        Self::Full {
+            retry_after: retry_after.unwrap_or(RETRY_AFTER_WAIT),
+            reason: RejectReason::NoRoom,
+        }
+    }
 }
 
 /// Waits for a slot at a runner.
@@ -132,7 +142,7 @@
         tokio::select! {
             decided = tokio::time::timeout_at(latest_start.into(), &mut self.rx) => match decided {
                 Ok(Ok(admission)) => Ok(admission),
-                _ => Err(NoSlot::NOT_IN_TIME),
+                _ => Err(NoSlot::not_in_time(exchange)),
             },
             () = too_late => Err(NoSlot::Full {
                 retry_after: RETRY_AFTER_STOP,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -350,6 +350,15 @@
         })
     }
 
+    /// Returns when a request that got no slot in time should come back; `None` if there
+    /// is no such service.
+    pub(crate) fn retry_after(&self, service: &ServiceId, rank: u32) -> Option<Duration> {
+        let now = self.now();
+        self.with_service(service, |service_state| {
+            service_state.pool.retry_after(now, rank)
+        })
+    }
+
     /// Removes a request from the queue.
     pub(crate) fn cancel(&self, service: &ServiceId, queue_id: QueuedRequestId) {
         self.with_service(service, |service_state| {
