--- a/tests/support/hosted_process.rs
+++ b/tests/support/hosted_process.rs
@@ -41,9 +41,14 @@
         }
     }
 
+    /// Returns the number by which the system knows the process.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the peak of the resident memory in kB.
     pub(crate) fn peak_kb(&self) -> u64 {
-        let path = format!("/proc/{}/status", self.child.id());
+        let path = format!("/proc/{}/status", self.id());
         let status = std::fs::read_to_string(path).expect("the process runs");
         let line = status
             .lines()
