Gateway and agents: one bound on the memory and the connections of a process

What callers saw: entries that the platform ended for want of memory, with all requests that they had; connections without a bound on their number.

Cause: bodies were collected whole, without a bound over all of them; chunks of a byte kept the read buffer that they came in; large heads had no bound in common; a response was free of its bound before its caller had read it; each connection was accepted.

Change: crates/core/src/gateway/memory/ divides what the settings state, charges bytes before they are read and names who gives way: whoever makes no progress, the largest first, then the newest body; never a complete request. Bodies are copied into parts of 64 KiB and are not read while there is no room; after 1 s they get 503, which is true, as nothing was sent to a runner. A length over the limit gets 413 by its head. Heads have the declared time limit, doubled. Connections beyond the bound replace those that sent nothing, then idle ones; at agents, one of the peer that has most. Bodies and responses up to 8 and 16 KiB pay no charge.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,6 +8,8 @@
 
 mod attempt;
 mod break_off;
+mod buffered_body;
+mod caller_connection;
 mod caller_stream;
 mod crash_probe;
 mod exchange;
@@ -15,10 +17,12 @@
 mod led_groups;
 mod listen;
 mod load_reports;
+mod memory;
 mod rank_positions;
 mod rate_limits;
 mod received;
 mod relay;
+mod request_body;
 mod response;
 mod response_body;
 mod rests;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,7 +9,6 @@
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
-use http_body_util::Full;
 use hyper::body::Frame;
 use tokio::time::Instant;
 use wisteriawick_core::gateway::AttemptOutcome;
@@ -24,9 +23,11 @@
 use wisteriawick_platform::caller_response_headers;
 use wisteriawick_platform::runner_request_headers;
 
+use crate::gateway::buffered_body::BufferedBody;
 use crate::gateway::exchange::Block;
 use crate::gateway::exchange::Exchange;
 use crate::gateway::exchange::RequestAttempts;
+use crate::gateway::request_body::RequestBody;
 use crate::gateway::response_body::BodyError;
 use crate::gateway::response_body::ResponseBody;
 use crate::gateway::runner_slot::RunnerSlot;
@@ -54,7 +55,7 @@
 pub(crate) struct BufferedResponse {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: BufferedBody,
 }
 
 /// A stream whose first event has arrived.
@@ -435,7 +436,7 @@
     exchange: &Exchange,
     slot: &RunnerSlot,
     last_event: Option<u64>,
-) -> Result<Request<Full<Bytes>>, FailedAttempt> {
+) -> Result<Request<RequestBody>, FailedAttempt> {
     let remaining = exchange
         .deadline
         .saturating_duration_since(exchange.state.now());
@@ -456,7 +457,7 @@
     let mut req = Request::builder()
         .method(exchange.head.method.clone())
         .uri(target)
-        .body(Full::new(exchange.body.clone()))
+        .body(exchange.body.clone())
         .map_err(|e| FailedAttempt::new(AttemptOutcome::NotSent, e.to_string()))?;
     *req.headers_mut() = headers;
     Ok(req)
@@ -470,7 +471,13 @@
     headers: HeaderMap,
     body: ResponseBody,
 ) -> Result<BufferedResponse, FailedAttempt> {
-    let body = match body.collect(&exchange.state.body_budget).await {
+    let state = &exchange.state;
+    let collected = body.collect(
+        &state.body_budget,
+        &state.memory,
+        exchange.connection.closing(),
+    );
+    let body = match collected.await {
         Ok(body) => body,
         // The lack of room says nothing about the runner.
         Err(e @ BodyError::NoRoom) => {
@@ -491,7 +498,6 @@
         status if status.is_server_error() => RunnerOutcome::ErrorResponse,
         _ => RunnerOutcome::Served,
     });
-    let state = &exchange.state;
     // Only requests that may run again use idle connections. Those of other requests
     // would pile up until the runner resets new ones.
     if !head.closes_connection && exchange.route_match.route.may_run_again() {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -14,13 +14,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::CONNECTION;
 use http::request::Parts;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use metrics::counter;
 use serde_json::json;
@@ -41,9 +40,15 @@
 use crate::gateway::attempt;
 use crate::gateway::attempt::AttemptResult;
 use crate::gateway::attempt::FailedAttempt;
+use crate::gateway::caller_connection::BegunRequest;
+use crate::gateway::caller_connection::CallerConnection;
 use crate::gateway::crash_probe::RunningProbe;
 pub(crate) use crate::gateway::exchange::attempts::RequestAttempts;
+use crate::gateway::memory::HeldMemory;
 use crate::gateway::relay;
+use crate::gateway::request_body;
+use crate::gateway::request_body::ReceiveError;
+use crate::gateway::request_body::RequestBody;
 use crate::gateway::response::Body;
 use crate::gateway::response::local_reply;
 use crate::gateway::slot_request::NoSlot;
@@ -60,6 +65,8 @@
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time after which to retry while this process has no declaration yet.
 const RETRY_AFTER_UNDECLARED: Duration = Duration::from_millis(500);
+/// Time after which to retry if there was no memory for the body.
+const RETRY_AFTER_MEMORY: Duration = Duration::from_millis(500);
 /// Time after which to retry if no runner was free in time.
 pub(crate) const RETRY_AFTER_WAIT: Duration = Duration::from_millis(500);
 /// Minimum time without an event after which callers disconnect from a stream. It
@@ -78,7 +85,10 @@
 pub(crate) struct Exchange {
     pub(crate) state: Arc<GatewayState>,
     pub(crate) head: Parts,
-    pub(crate) body: Bytes,
+    pub(crate) body: RequestBody,
+    pub(crate) connection: Arc<CallerConnection>,
+    /// What the head holds of the budget of memory.
+    _held_head: Option<HeldMemory>,
     pub(crate) caller: CallerRequest,
     pub(crate) route_match: RouteMatch,
     pub(crate) service: ServiceId,
@@ -127,7 +137,7 @@
 pub(crate) async fn serve(
     state: Arc<GatewayState>,
     req: Request<Incoming>,
-    is_first_on_connection: bool,
+    begun: BegunRequest,
 ) -> Response<Body> {
     let arrived = state.now();
     let (head, body) = req.into_parts();
@@ -151,9 +161,7 @@
     let limit = declaration.limits().max_body_bytes;
     let body = match read_body(&state, body, limit, deadline).await {
         Ok(body) => body,
-        Err(status) => {
-            return local_reply(&caller.id, status, None, "the body did not arrive whole");
-        }
+        Err(error) => return refuse_body(&state, &caller.id, &error),
     };
     let Some(service) = route_match
         .route
@@ -172,12 +180,14 @@
         state,
         head,
         body,
+        connection: begun.connection,
+        _held_head: begun.head,
         caller,
         route_match,
         service,
         arrived,
         arrived_after_stop: stop.map(|stop| stop.elapsed(arrived)),
-        is_first_on_connection,
+        is_first_on_connection: begun.is_first,
         deadline,
         suspects,
         trial: Mutex::default(),
@@ -206,26 +216,61 @@
     body: Incoming,
     limit: usize,
     deadline: Instant,
-) -> Result<Bytes, StatusCode> {
-    let collected = Limited::new(body, limit).collect();
-    match state.stop.unless_due(deadline, collected).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            Err(StatusCode::PAYLOAD_TOO_LARGE)
-        }
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+) -> Result<RequestBody, BodyFailure> {
+    let received = request_body::receive(&state.memory, body, limit);
+    match state.stop.unless_due(deadline, received).await {
+        Ok(received) => received.map_err(BodyFailure::Failed),
+        Err(_) => Err(BodyFailure::Late),
     }
 }
 
+/// Why a request has no whole body.
+enum BodyFailure {
+    Failed(ReceiveError),
+    /// The request is due before its body has arrived.
+    Late,
+}
+
+/// Responds to a request whose body is not read to its end, so that the connection can't
+/// be used any further.
+fn refuse_body(state: &GatewayState, id: &str, failure: &BodyFailure) -> Response<Body> {
+    let (status, retry_after, reason) = match failure {
+        BodyFailure::Failed(ReceiveError::TooLong) => {
+            (StatusCode::PAYLOAD_TOO_LARGE, None, "the body is too long")
+        }
+        BodyFailure::Failed(ReceiveError::Broken) => (
+            StatusCode::BAD_REQUEST,
+            None,
+            "the body did not arrive whole",
+        ),
+        BodyFailure::Failed(ReceiveError::Memory(short)) => {
+            state.memory.record_refusal((*short).into());
+            counter!(telemetry::REQUESTS, "outcome" => "refused").increment(1);
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            (status, Some(RETRY_AFTER_MEMORY), "no memory in time")
+        }
+        BodyFailure::Late => (
+            StatusCode::REQUEST_TIMEOUT,
+            None,
+            "the body did not arrive whole",
+        ),
+    };
+    let mut res = local_reply(id, status, retry_after, reason);
+    let close = HeaderValue::from_static("close");
+    res.headers_mut().insert(CONNECTION, close);
+    res
+}
+
 /// Returns a digest of path, workspace and body, which a caller's retry has too.
-fn fingerprint(head: &Parts, body: &[u8], route_match: &RouteMatch) -> Fingerprint {
+fn fingerprint(head: &Parts, body: &RequestBody, route_match: &RouteMatch) -> Fingerprint {
     let mut hasher = blake3::Hasher::new();
     hasher.update(head.uri.path().as_bytes());
     if let Some(tenancy) = &route_match.tenancy {
         hasher.update(tenancy.workspace.as_str().as_bytes());
     }
-    hasher.update(body);
+    for part in body.parts() {
+        hasher.update(part);
+    }
     let mut first = [0; 16];
     first.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
     Fingerprint(u128::from_le_bytes(first))
--- a/src/gateway/exchange/replies.rs
+++ b/src/gateway/exchange/replies.rs
@@ -4,6 +4,7 @@
 
 use http::Response;
 use http::StatusCode;
+use http_body_util::BodyExt;
 use serde_json::json;
 use wisteriawick_core::gateway::RejectReason;
 use wisteriawick_core::gateway::StopSchedule;
@@ -16,7 +17,6 @@
 use crate::gateway::exchange::RETRY_AFTER_WAIT;
 use crate::gateway::exchange::RequestAttempts;
 use crate::gateway::response::Body;
-use crate::gateway::response::full_body;
 use crate::gateway::response::local_reply;
 use crate::gateway::response::response;
 use crate::gateway::slot_request::NoSlot;
@@ -95,7 +95,7 @@
         if status.is_success() {
             self.record_times(self.age(), Duration::ZERO);
         }
-        response(status, buffered.headers, full_body(buffered.body))
+        response(status, buffered.headers, buffered.body.boxed_unsync())
     }
 
     /// Responds when the caller waits no longer or the process ends, depending on
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -6,9 +6,12 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -20,26 +23,33 @@
 use http::Version;
 use http::header::CONNECTION;
 use http_body_util::Full;
+use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::body::SizeHint;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use serde_json::json;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use wisteriawick_core::gateway::MemoryPlan;
 use wisteriawick_core::gateway::StopSchedule;
 use wisteriawick_core::hosting::HostSettings;
 use wisteriawick_platform::READINESS_PATH;
 
 use crate::accept;
 use crate::accept::ACCEPT_RETRY_DELAY;
+use crate::connection_slots::ConnectionSlot;
 use crate::error::Error;
 use crate::error::Result;
 use crate::eventlog::EventCategory;
+use crate::gateway::caller_connection::BegunRequest;
+use crate::gateway::caller_connection::CallerConnection;
 use crate::gateway::caller_stream::CallerStream;
 use crate::gateway::caller_stream::Reset;
 use crate::gateway::exchange;
@@ -57,6 +67,10 @@
 /// Factor by which the actual idle timeout exceeds the declared one. A caller that
 /// respects the declared time never sends a request while the connection closes.
 const IDLE_TIMEOUT_FACTOR: u32 = 2;
+/// Factor by which the actual time limit of heads exceeds the declared one.
+const HEAD_TIMEOUT_FACTOR: u32 = 2;
+/// Time limit of heads while there is no declaration yet.
+const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Idle timeout while there is no declaration yet.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Smallest buffer for a request head that hyper accepts, in bytes.
@@ -96,8 +110,20 @@
     ///
     /// Fails when an address is missing from the settings or cannot be bound.
     pub async fn bind(settings: &HostSettings) -> Result<Self> {
+        let callers = bind_setting("callers'", settings.callers).await?;
+        let plan = MemoryPlan::new(&settings.resources);
+        if let Some(bytes) = plan.receive_buffer_bytes {
+            // Connections that the listener accepts inherit the size.
+            SockRef::from(&callers)
+                .set_recv_buffer_size(bytes)
+                .map_err(|e| {
+                    Error::Other(format!(
+                        "receive buffer of {bytes} bytes: {e}; raise memory"
+                    ))
+                })?;
+        }
         Ok(Self {
-            callers: bind_setting("callers'", settings.callers).await?,
+            callers,
             readiness: bind_setting("readiness", settings.readiness).await?,
         })
     }
@@ -212,8 +238,13 @@
         tokio::select! {
             () = &mut until => return,
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    tracker.spawn(serve_connection(stream, Arc::clone(state), close.clone()));
+                Ok((stream, peer)) => {
+                    if let Some(slot) = state.connections.enter(peer.ip()) {
+                        let state = Arc::clone(state);
+                        tracker.spawn(serve_connection(stream, slot, state, close.clone()));
+                    }
+                    // A connection that gave way closes before the next one is accepted.
+                    tokio::task::yield_now().await;
                 }
                 Err(e) => {
                     let fields = json!({"error": e.to_string()});
@@ -225,24 +256,33 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, state: Arc<GatewayState>, close: CancellationToken) {
+async fn serve_connection(
+    stream: TcpStream,
+    slot: ConnectionSlot,
+    state: Arc<GatewayState>,
+    close: CancellationToken,
+) {
     if enable_dead_peer_detection(&stream, CALLER_USER_TIMEOUT).is_err() {
         return; // The caller has already disconnected.
     }
     let reset = Reset::default();
-    let stream = CallerStream::new(stream, reset.clone());
     let limits = state.declaration().map(|declaration| declaration.limits());
+    let head_timeout = limits.map_or(DEFAULT_HEAD_TIMEOUT, |limits| {
+        limits.head_timeout * HEAD_TIMEOUT_FACTOR
+    });
+    let connection = CallerConnection::new(slot, Arc::clone(&state.memory), head_timeout);
+    let caller = Arc::new(connection);
+    let stream = CallerStream::new(stream, reset.clone(), Arc::clone(&caller));
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
         limits.idle_timeout * IDLE_TIMEOUT_FACTOR
     });
     let head_bytes = limits.map_or(MIN_HEAD_BUFFER_BYTES, |limits| limits.max_head_bytes);
-    let is_used = AtomicBool::new(false);
     let is_without_chunks = AtomicBool::new(false);
     let service = service_fn(|req: Request<Incoming>| {
         let state = Arc::clone(&state);
         is_without_chunks.store(req.version() < Version::HTTP_11, Ordering::Relaxed);
-        let is_first = !is_used.swap(true, Ordering::Relaxed);
-        async move { Ok::<_, Infallible>(serve_request(state, req, is_first).await) }
+        let begun = caller.begin_request();
+        async move { Ok::<_, Infallible>(serve_request(state, req, begun).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -253,16 +293,20 @@
     let ended = tokio::select! {
         ended = connection.as_mut() => Some(ended),
         () = close.cancelled() => None,
+        () = caller.closing().cancelled() => return,
     };
     let ended = match ended {
         Some(ended) => ended,
         None => {
             connection.as_mut().graceful_shutdown();
             // Without a first request hyper keeps the connection open.
-            if !is_used.load(Ordering::Relaxed) {
+            if !caller.is_used() {
                 return;
             }
-            connection.as_mut().await
+            tokio::select! {
+                ended = connection.as_mut() => ended,
+                () = caller.closing().cancelled() => return,
+            }
         }
     };
     // Other errors of a caller's connection need no handling here.
@@ -274,14 +318,47 @@
 async fn serve_request(
     state: Arc<GatewayState>,
     req: Request<Incoming>,
-    is_first: bool,
-) -> Response<Body> {
-    let mut res = exchange::serve(Arc::clone(&state), req, is_first).await;
+    begun: BegunRequest,
+) -> Response<TrackedBody> {
+    let connection = Arc::clone(&begun.connection);
+    let mut res = exchange::serve(Arc::clone(&state), req, begun).await;
     if state.is_stopping() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(CONNECTION, close);
     }
-    res
+    res.map(|body| TrackedBody { body, connection })
+}
+
+/// The body of a response. Its connection is idle again when this is dropped.
+struct TrackedBody {
+    body: Body,
+    connection: Arc<CallerConnection>,
+}
+
+impl Drop for TrackedBody {
+    fn drop(&mut self) {
+        self.connection.end_request();
+    }
+}
+
+impl hyper::body::Body for TrackedBody {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<std::io::Result<Frame<Bytes>>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
 
 /// Responds to the load balancer's readiness probes.
@@ -290,9 +367,12 @@
     state: Arc<GatewayState>,
     shutdown: CancellationToken,
 ) {
-    accept::serve_connections(listener, shutdown, |stream| {
+    accept::serve_connections(listener, accept::side_slots(), shutdown, |stream, slot| {
         let state = Arc::clone(&state);
-        accept::serve_http(stream, move |path| readiness(&state, path))
+        async move {
+            let _slot = slot;
+            accept::serve_http(stream, move |path| readiness(&state, path)).await;
+        }
     })
     .await;
 }
--- /dev/null
+++ b/src/gateway/request_body.rs
@@ -0,0 +1,199 @@
+//! Bodies of requests: received within the budget of memory, and sent to runners.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::body::SizeHint;
+use tokio_util::sync::CancellationToken;
+use wisteriawick_core::gateway::HolderKind;
+use wisteriawick_core::gateway::SMALL_BODY_BYTES;
+
+use crate::gateway::memory::HeldMemory;
+use crate::gateway::memory::MemoryShort;
+use crate::gateway::memory::RequestMemory;
+
+/// Size of the parts in which a larger body is held.
+const PART_BYTES: usize = 64 * 1024;
+
+/// Why a body was not received.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ReceiveError {
+    /// It is longer than the declaration allows.
+    #[error("the body is too long")]
+    TooLong,
+    /// The connection broke or the framing is invalid.
+    #[error("the body did not arrive whole")]
+    Broken,
+    /// There is no memory for it.
+    #[error(transparent)]
+    Memory(#[from] MemoryShort),
+}
+
+/// A complete body, in parts. Clones share them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RequestBody {
+    parts: Arc<[Bytes]>,
+    /// Number of parts that were sent.
+    sent: usize,
+    /// Bytes of the other parts.
+    left: u64,
+    /// What it holds of the budget, if it is not small.
+    _held: Option<Arc<HeldMemory>>,
+}
+
+impl RequestBody {
+    /// Returns the content.
+    pub(crate) fn parts(&self) -> &[Bytes] {
+        &self.parts
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let Some(part) = self.parts.get(self.sent).cloned() else {
+            return Poll::Ready(None);
+        };
+        self.sent += 1;
+        self.left -= part.len() as u64;
+        Poll::Ready(Some(Ok(Frame::data(part))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left == 0
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.left)
+    }
+}
+
+/// A body that is being received.
+///
+/// Chunks are copied into parts of its own: each chunk would otherwise keep the read buffer
+/// that it came in, which may be thousands of times as large.
+struct Receiver<'a> {
+    memory: &'a Arc<RequestMemory>,
+    held: Option<HeldMemory>,
+    parts: Vec<Bytes>,
+    current: BytesMut,
+    length: usize,
+}
+
+/// Receives a body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Fails if it is longer, breaks off or there is no memory for it. A length over the limit
+/// fails before anything is read.
+pub(crate) async fn receive(
+    memory: &Arc<RequestMemory>,
+    body: Incoming,
+    limit: usize,
+) -> Result<RequestBody, ReceiveError> {
+    let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if declared > limit {
+        return Err(ReceiveError::TooLong);
+    }
+    let mut receiver = Receiver {
+        memory,
+        held: None,
+        parts: Vec::new(),
+        current: BytesMut::with_capacity(declared.min(SMALL_BODY_BYTES)),
+        length: 0,
+    };
+    receiver.receive(body, limit).await?;
+    receiver.finish()
+}
+
+impl Receiver<'_> {
+    async fn receive(&mut self, mut body: Incoming, limit: usize) -> Result<(), ReceiveError> {
+        loop {
+            let frame = match &self.held {
+                None => body.frame().await,
+                Some(held) => tokio::select! {
+                    biased;
+                    () = held.must_end() => return Err(MemoryShort::GaveWay.into()),
+                    frame = body.frame() => frame,
+                },
+            };
+            let Some(frame) = frame else {
+                return Ok(());
+            };
+            let Ok(data) = frame.map_err(|_| ReceiveError::Broken)?.into_data() else {
+                continue;
+            };
+            self.length += data.len();
+            if self.length > limit {
+                return Err(ReceiveError::TooLong);
+            }
+            self.push(&data).await?;
+        }
+    }
+
+    async fn push(&mut self, mut data: &[u8]) -> Result<(), MemoryShort> {
+        if let Some(held) = &self.held {
+            held.record_progress(data.len());
+        }
+        if self.held.is_none() && self.length <= SMALL_BODY_BYTES {
+            self.current.extend_from_slice(data);
+            return Ok(());
+        }
+        while !data.is_empty() {
+            let room = match self.held {
+                Some(_) => self.current.capacity() - self.current.len(),
+                None => 0,
+            };
+            if room == 0 {
+                self.begin_part().await?;
+                continue;
+            }
+            let (now, rest) = data.split_at(data.len().min(room));
+            self.current.extend_from_slice(now);
+            data = rest;
+        }
+        Ok(())
+    }
+
+    async fn begin_part(&mut self) -> Result<(), MemoryShort> {
+        let held = self.held.get_or_insert_with(|| {
+            let give_way = CancellationToken::new();
+            self.memory.enter(HolderKind::Receiving, give_way)
+        });
+        held.charge(PART_BYTES).await?;
+        let part = std::mem::replace(&mut self.current, BytesMut::with_capacity(PART_BYTES));
+        if !part.is_empty() {
+            self.parts.push(part.freeze());
+        }
+        Ok(())
+    }
+
+    fn finish(mut self) -> Result<RequestBody, ReceiveError> {
+        if let Some(held) = &self.held {
+            held.complete()?;
+        }
+        if !self.current.is_empty() {
+            self.parts.push(self.current.freeze());
+        }
+        Ok(RequestBody {
+            parts: self.parts.into(),
+            sent: 0,
+            left: self.length as u64,
+            _held: self.held.map(Arc::new),
+        })
+    }
+}
--- a/src/gateway/response_body.rs
+++ b/src/gateway/response_body.rs
@@ -15,7 +15,12 @@
 use tokio::sync::Semaphore;
 use tokio::sync::SemaphorePermit;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use wisteriawick_core::gateway::HolderKind;
 
+use crate::gateway::buffered_body::BufferedBody;
+use crate::gateway::memory::HeldMemory;
+use crate::gateway::memory::RequestMemory;
 use crate::gateway::received::ReceivedBytes;
 
 /// Largest body that is buffered without room from the budget, in bytes.
@@ -97,7 +102,12 @@
     /// # Errors
     ///
     /// Fails when the body breaks off, exceeds its bounds or there is no room for it.
-    pub(crate) async fn collect(mut self, budget: &BodyBudget) -> Result<Bytes, BodyError> {
+    pub(crate) async fn collect(
+        mut self,
+        budget: &BodyBudget,
+        memory: &Arc<RequestMemory>,
+        give_way: &CancellationToken,
+    ) -> Result<BufferedBody, BodyError> {
         let declared = self.declared_length();
         let mut room = Room::new(budget, declared);
         room.check_length(declared.unwrap_or_default())?;
@@ -106,11 +116,14 @@
             let Ok(data) = frame?.into_data() else {
                 continue;
             };
-            room.grow(&mut buf, data.len()).await?;
+            room.grow(&mut buf, data.len(), || {
+                memory.enter(HolderKind::Complete, give_way.clone())
+            })
+            .await?;
             buf.extend_from_slice(&data);
         }
         buf.shrink_to_fit();
-        Ok(buf.into())
+        Ok(BufferedBody::new(buf, room.held))
     }
 }
 
@@ -138,6 +151,8 @@
     /// When the body must have ended.
     until: Option<Instant>,
     permits: Vec<SemaphorePermit<'a>>,
+    /// What it holds of the memory of all requests.
+    held: Option<HeldMemory>,
 }
 
 impl<'a> Room<'a> {
@@ -148,6 +163,7 @@
             capacity: SMALL_BODY_BYTES,
             until: None,
             permits: Vec::new(),
+            held: None,
         }
     }
 
@@ -170,7 +186,12 @@
     ///
     /// A body that needs more takes room of the next size and keeps what it has. Bodies
     /// of the largest size wait for nothing, so no two bodies wait for each other.
-    async fn grow(&mut self, buf: &mut Vec<u8>, additional: usize) -> Result<(), BodyError> {
+    async fn grow(
+        &mut self,
+        buf: &mut Vec<u8>,
+        additional: usize,
+        enter: impl Fn() -> HeldMemory,
+    ) -> Result<(), BodyError> {
         let needed = buf.len() + additional;
         self.check_length(needed)?;
         while needed > self.capacity {
@@ -186,6 +207,9 @@
             self.until = Some(Instant::now() + ROOM_USE_TIMEOUT);
             self.capacity = capacity;
             let total = self.declared.unwrap_or(capacity);
+            let held = self.held.get_or_insert_with(&enter);
+            let missing = total.saturating_sub(buf.capacity());
+            held.charge(missing).await.map_err(|_| BodyError::NoRoom)?;
             buf.reserve_exact(total.saturating_sub(buf.len()));
         }
         Ok(())
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -35,6 +35,7 @@
 use wisteriawick_core::gateway::EntryId;
 use wisteriawick_core::gateway::LatestDeclaration;
 use wisteriawick_core::gateway::LoadReport;
+use wisteriawick_core::gateway::MemoryPlan;
 use wisteriawick_core::gateway::Pool;
 use wisteriawick_core::gateway::PoolLimits;
 use wisteriawick_core::gateway::QueuedRequest;
@@ -54,12 +55,15 @@
 use wisteriawick_core::time::SharedClock;
 use wisteriawick_platform::StoreClient;
 
+use crate::connection_slots::ConnectionSlots;
+use crate::connection_slots::GiveWay;
 use crate::crash_board::CrashBoard;
 use crate::eventlog::EventCategory;
 use crate::eventlog::EventLog;
 use crate::gateway::crash_probe::CrashProbes;
 use crate::gateway::leader_shares::LeaderShares;
 use crate::gateway::led_groups::LedGroups;
+use crate::gateway::memory::RequestMemory;
 use crate::gateway::rank_positions::RankPositions;
 use crate::gateway::response_body::BodyBudget;
 use crate::gateway::stop::Stop;
@@ -100,6 +104,10 @@
     pub(crate) store: StoreClient,
     pub(crate) upstreams: UpstreamPool,
     pub(crate) body_budget: BodyBudget,
+    /// Memory that requests hold.
+    pub(crate) memory: Arc<RequestMemory>,
+    /// Callers' connections.
+    pub(crate) connections: Arc<ConnectionSlots>,
     latest_declaration: Mutex<LatestDeclaration>,
     pub(crate) runner_registry: Mutex<RunnerRegistry>,
     services: Mutex<HashMap<ServiceId, ServiceState>>,
@@ -140,7 +148,10 @@
     pub(crate) fn new(settings: HostSettings, clock: SharedClock, log: EventLog) -> Self {
         // Two processes with equal identifiers would each use the other's share.
         let mut rng = SmallRng::seed_from_u64(rand::random());
+        let plan = MemoryPlan::new(&settings.resources);
         Self {
+            memory: RequestMemory::new(plan),
+            connections: ConnectionSlots::new(plan.max_connections, GiveWay::Waiting),
             store: StoreClient::new(settings.store),
             upstreams: UpstreamPool::default(),
             body_budget: BodyBudget::default(),
@@ -467,6 +478,7 @@
             .update(|tracker, now| tracker.blocked_count(now));
         self.blocked_suspects.store(blocked, Ordering::Relaxed);
         gauge!(telemetry::BLOCKED_SUSPECTS).set(blocked as f64);
+        gauge!(telemetry::OPEN_CONNECTIONS).set(self.connections.count() as f64);
     }
 
     /// Dispatches the queued requests of all services and updates their gauges.
@@ -561,6 +573,7 @@
         }
         state.refresh_shares();
         state.report_gauges();
+        state.memory.report(&state.log);
         state.log_breaks();
         state.dispatch_all();
         state.upstreams.close_idle(state.now());
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -10,10 +10,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use http::Request;
 use http::Response;
-use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -24,6 +22,7 @@
 
 use crate::gateway::received::CountedStream;
 use crate::gateway::received::ReceivedBytes;
+use crate::gateway::request_body::RequestBody;
 use crate::gateway::response_body::ResponseBody;
 use crate::gateway::state::lock;
 
@@ -50,7 +49,7 @@
 /// An HTTP/1 connection to one runner.
 #[derive(Debug)]
 pub(crate) struct Upstream {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<RequestBody>,
     task: AbortHandle,
     address: SocketAddr,
     received: Arc<ReceivedBytes>,
@@ -210,7 +209,7 @@
     /// head has begun and has not ended.
     pub(crate) async fn send(
         &mut self,
-        req: Request<Full<Bytes>>,
+        req: Request<RequestBody>,
         begun: impl FnOnce(),
     ) -> Result<Response<ResponseBody>, SendError> {
         self.sender
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod agent;
 pub mod cli;
 pub mod command;
+mod connection_slots;
 mod crash_board;
 pub mod entry;
 pub mod error;
--- a/src/rank.rs
+++ b/src/rank.rs
@@ -25,6 +25,7 @@
 use serde_json::json;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
+use wisteriawick_core::gateway::MemoryPlan;
 use wisteriawick_core::hosting::HostSettings;
 use wisteriawick_core::maps::ReportBudget;
 use wisteriawick_core::time::SharedClock;
@@ -76,8 +77,10 @@
         crashes: CrashBoard::new(Arc::clone(&clock)),
         limits: LimitBoard::new(Arc::clone(&clock), log.clone()),
     };
+    let plan = MemoryPlan::new(&settings.resources);
     tokio::spawn(link_server::serve(
         listener,
+        plan.max_connections,
         handle.clone(),
         group,
         ended.clone(),
--- a/src/rank/link_server.rs
+++ b/src/rank/link_server.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
+use wisteriawick_core::gateway::ConnectionPhase;
 use wisteriawick_core::gateway::CrashNote;
 use wisteriawick_core::gateway::EntryId;
 use wisteriawick_core::maps::LastMap;
@@ -20,6 +21,9 @@
 use wisteriawick_core::maps::ReportIntervals;
 
 use crate::accept;
+use crate::connection_slots::ConnectionSlot;
+use crate::connection_slots::ConnectionSlots;
+use crate::connection_slots::GiveWay;
 use crate::crash_board::CrashBoard;
 use crate::crash_board::CrashNotes;
 use crate::rank::group_load::GroupLoad;
@@ -80,17 +84,19 @@
 /// Accepts links of leaders and entries until `stop` is cancelled.
 pub(crate) async fn serve(
     listener: TcpListener,
+    max_links: usize,
     member: MemberHandle,
     group: GroupHandle,
     stop: CancellationToken,
 ) {
-    accept::serve_connections(listener, stop, |stream| {
+    let slots = ConnectionSlots::new(max_links, GiveWay::Anyone);
+    accept::serve_connections(listener, slots, stop, |stream, slot| {
         let member = member.clone();
         let group = group.clone();
         async move {
             if let Ok(link) = Link::with_limit(stream, MAX_HELLO_BYTES) {
                 // After a failure, the process that dialed dials again.
-                let _ = handle(link, member, group).await;
+                let _ = handle(link, &slot, member, group).await;
             }
         }
     })
@@ -98,8 +104,14 @@
 }
 
 /// Serves a link according to its first message.
-async fn handle(mut link: Link, member: MemberHandle, group: GroupHandle) -> std::io::Result<()> {
+async fn handle(
+    mut link: Link,
+    slot: &ConnectionSlot,
+    member: MemberHandle,
+    group: GroupHandle,
+) -> std::io::Result<()> {
     let hello = tokio::time::timeout(HELLO_TIMEOUT, link.recv::<Hello>()).await??;
+    slot.set_phase(ConnectionPhase::Busy);
     match hello {
         Hello::Leader => serve_leader(link, member, group).await,
         Hello::Entry => serve_entry(link, member, group).await,
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -72,6 +72,17 @@
 /// Load of the slowest ranks divided by the mean, before the last plan.
 pub const EXPERT_SKEW: &str = "wisteriawick_expert_skew";
 
+/// Bytes of bodies, heads and answers that requests hold beyond the small ones.
+pub const MEMORY_HELD_BYTES: &str = "wisteriawick_memory_held_bytes";
+/// Most of these bytes since the process started.
+pub const MEMORY_PEAK_BYTES: &str = "wisteriawick_memory_peak_bytes";
+/// Requests refused and connections closed for want of memory, by reason.
+pub const MEMORY_REFUSALS: &str = "wisteriawick_memory_refusals_total";
+/// Callers' connections that are open.
+pub const OPEN_CONNECTIONS: &str = "wisteriawick_open_connections";
+/// Connections closed since a listener had as many as it may, by reason.
+pub const CONNECTIONS_CLOSED: &str = "wisteriawick_connections_closed_total";
+
 /// Upper bounds of the histogram buckets for durations, in seconds. They range
 /// from the time of one pass to the longest timeout of callers.
 const SECONDS_BUCKETS: [f64; 12] = [
@@ -82,11 +93,15 @@
 
 /// Serves the metrics of a hosted process on any path until `shutdown`.
 pub async fn serve(listener: TcpListener, handle: PrometheusHandle, shutdown: CancellationToken) {
-    let server = accept::serve_connections(listener, shutdown, |stream| {
-        let handle = handle.clone();
-        let respond = move |_: &str| Response::new(Full::new(Bytes::from(handle.render())));
-        accept::serve_http(stream, respond)
-    });
+    let server =
+        accept::serve_connections(listener, accept::side_slots(), shutdown, |stream, slot| {
+            let handle = handle.clone();
+            let respond = move |_: &str| Response::new(Full::new(Bytes::from(handle.render())));
+            async move {
+                let _slot = slot;
+                accept::serve_http(stream, respond).await;
+            }
+        });
     tokio::select! {
         () = server => {}
         () = run_maintenance(&handle) => {}
