Tests: crowds at the entry of our own fleets

The cases: 40 bodies of 8 MiB that stop one byte short, 96 clients with chunks of one byte, 600 connections that send nothing; an entry with 160 MB and 400 descriptors.

The heads of crowds come from the stand-in of the platform, which knows its names.

--- a/tests/hostile_clients.rs
+++ b/tests/hostile_clients.rs
@@ -9,10 +9,13 @@
 mod agent;
 #[path = "hostile_clients/crowd.rs"]
 mod crowd;
+#[path = "hostile_clients/fleet.rs"]
+mod fleet;
 #[path = "support/hosted_process.rs"]
 mod hosted_process;
 #[path = "hostile_clients/site.rs"]
 mod site;
+mod support;
 #[path = "hostile_clients/usage.rs"]
 mod usage;
 
@@ -21,10 +24,12 @@
 use tokio::sync::Mutex;
 use tokio::sync::MutexGuard;
 use wisteriawick_platform_standin::RunnerBehavior;
+use wisteriawick_platform_standin::caller_head;
 
 use crate::agent::AgentSite;
 use crate::crowd::Crowd;
 use crate::crowd::Script;
+use crate::fleet::FleetSite;
 use crate::site::BODY_BYTES;
 use crate::site::HEAD_BYTES;
 use crate::site::Site;
@@ -51,10 +56,7 @@
 }
 
 fn post(header: &str) -> String {
-    format!(
-        "POST /safe/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: crowd\r\n\
-         Authorization: Bearer key\r\n{header}\r\n\r\n"
-    )
+    caller_head("POST", "/safe/x", "crowd", header)
 }
 
 fn sized(bytes: usize) -> String {
@@ -213,3 +215,32 @@
     let hello = Script::head("\u{0}\u{0}\u{0}\u{1}\u{1}");
     agent.outlives(CONNECTIONS, &hello).await;
 }
+
+/// Clients of a fleet of our own, whose largest body is a constant.
+const FLEET_LARGE: usize = 40;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn large_bodies_at_an_entry_of_our_own_fleet() {
+    let _alone = alone().await;
+    let site = FleetSite::start().await;
+    let length = fleet::BODY_BYTES;
+    let head = FleetSite::head(&format!("Content-Length: {length}"));
+    let script = Script::head(head).then(b"x", length - 1);
+    site.outlives(FLEET_LARGE, &script).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chunks_of_one_byte_at_an_entry_of_our_own_fleet() {
+    let _alone = alone().await;
+    let site = FleetSite::start().await;
+    let script = Script::head(FleetSite::head("Transfer-Encoding: chunked"));
+    let script = script.then(b"1\r\nx\r\n", TINY_BYTES);
+    site.outlives(2 * TINY, &script).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_send_nothing_to_an_entry_of_our_own_fleet() {
+    let _alone = alone().await;
+    let site = FleetSite::start().await;
+    site.outlives(CONNECTIONS, &Script::head("")).await;
+}
--- a/tests/hostile_clients/usage.rs
+++ b/tests/hostile_clients/usage.rs
@@ -58,6 +58,18 @@
     }
 }
 
+/// Returns the peak of a process's resident memory in kB.
+pub(crate) fn peak_kb(process: u32) -> u64 {
+    let path = format!("/proc/{process}/status");
+    let status = std::fs::read_to_string(path).expect("the process runs");
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmHWM:"))
+        .expect("a peak");
+    let number = line.trim().trim_end_matches(" kB");
+    number.parse().expect("a number")
+}
+
 /// Returns zero for a process that has ended.
 fn open_descriptors(process: u32) -> usize {
     std::fs::read_dir(format!("/proc/{process}/fd")).map_or(0, Iterator::count)
