--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,6 +8,8 @@
 
 mod attempt;
 mod break_off;
+mod buffered_body;
+mod caller_connection;
 mod caller_stream;
 mod crash_probe;
 mod departures;
@@ -17,10 +19,12 @@
 mod led_groups;
 mod listen;
 mod load_reports;
+pub(crate) mod memory;
 mod rank_positions;
 mod rate_limits;
 mod received;
 mod relay;
+pub(crate) mod request_body;
 mod response;
 mod response_body;
 mod rests;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -36,6 +36,7 @@
 use wisteriawick_core::gateway::EntryId;
 use wisteriawick_core::gateway::LatestDeclaration;
 use wisteriawick_core::gateway::LoadReport;
+use wisteriawick_core::gateway::MemoryPlan;
 use wisteriawick_core::gateway::MoveCost;
 use wisteriawick_core::gateway::Pool;
 use wisteriawick_core::gateway::PoolLimits;
@@ -56,6 +57,8 @@
 use wisteriawick_core::time::SharedClock;
 use wisteriawick_platform::StoreClient;
 
+use crate::connection_slots::ConnectionSlots;
+use crate::connection_slots::GiveWay;
 use crate::crash_board::CrashBoard;
 use crate::evacuation_board::EvacuationBoard;
 use crate::eventlog::EventCategory;
@@ -64,6 +67,7 @@
 use crate::gateway::departures::DepartureLog;
 use crate::gateway::leader_shares::LeaderShares;
 use crate::gateway::led_groups::LedGroups;
+use crate::gateway::memory::RequestMemory;
 use crate::gateway::rank_positions::RankPositions;
 use crate::gateway::response_body::BodyBudget;
 use crate::gateway::stop::Stop;
@@ -107,6 +111,10 @@
     pub(crate) store: StoreClient,
     pub(crate) upstreams: UpstreamPool,
     pub(crate) body_budget: BodyBudget,
+    /// Memory that requests hold.
+    pub(crate) memory: Arc<RequestMemory>,
+    /// Callers' connections.
+    pub(crate) connections: Arc<ConnectionSlots>,
     latest_declaration: Mutex<LatestDeclaration>,
     pub(crate) runner_registry: Mutex<RunnerRegistry>,
     services: Mutex<HashMap<ServiceId, ServiceState>>,
@@ -151,7 +159,11 @@
     pub(crate) fn new(settings: HostSettings, clock: SharedClock, log: EventLog) -> Self {
         // Two processes with equal identifiers would each use the other's share.
         let mut rng = SmallRng::seed_from_u64(rand::random());
+        let plan = MemoryPlan::new(&settings.resources);
+        let connections = ConnectionSlots::new(plan.max_connections, GiveWay::Waiting);
         Self {
+            memory: RequestMemory::new(plan, Arc::clone(&connections)),
+            connections,
             store: StoreClient::new(settings.store),
             upstreams: UpstreamPool::default(),
             body_budget: BodyBudget::default(),
@@ -534,6 +546,7 @@
             .update(|tracker, now| tracker.blocked_count(now));
         self.blocked_suspects.store(blocked, Ordering::Relaxed);
         gauge!(telemetry::BLOCKED_SUSPECTS).set(blocked as f64);
+        gauge!(telemetry::OPEN_CONNECTIONS).set(self.connections.count() as f64);
     }
 
     /// Dispatches the queued requests of all services and updates their gauges.
@@ -660,6 +673,11 @@
         state.refresh_shares();
         state.report_gauges();
         state.report_evacuations();
+        state.memory.report(|fields| {
+            state
+                .log
+                .line(EventCategory::Failure, "memory_short", fields);
+        });
         state.log_breaks();
         state.dispatch_all();
         state.upstreams.close_idle(state.now());
--- a/src/rank.rs
+++ b/src/rank.rs
@@ -26,6 +26,7 @@
 use serde_json::json;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
+use wisteriawick_core::gateway::MemoryPlan;
 use wisteriawick_core::hosting::HostSettings;
 use wisteriawick_core::maps::ReportBudget;
 use wisteriawick_core::time::SharedClock;
@@ -79,8 +80,10 @@
         limits: LimitBoard::new(Arc::clone(&clock), log.clone()),
         evacuations: EvacuationBoard::default(),
     };
+    let plan = MemoryPlan::new(&settings.resources);
     tokio::spawn(link_server::serve(
         listener,
+        plan.max_connections,
         handle.clone(),
         group,
         ended.clone(),
