Entries of our own fleets: the same bound on memory and connections; bodies use what connections leave

What callers saw: at entries of our own fleets bodies of 8 MiB had no bound in common and connections none at all.

Change: bodies may take three quarters of what is left beside 32 MB and 40 KiB for each open connection. Entries of our own fleets receive bodies within the same budget, by the keys entry.memory_mb (512) and entry.max_descriptors; their connections have slots, and those that sent nothing give way first. A body has 30 s, a caller that doesn't read 10 s.

--- a/crates/core/src/gateway/memory/budget.rs
+++ b/crates/core/src/gateway/memory/budget.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Changes the size of the budget. What is charged already stays.
+    pub fn set_total(&mut self, total: usize) {
+        self.total = total;
+    }
+
     /// Adds a holder, which has no bytes yet.
     pub fn enter(&mut self, now: Instant, kind: HolderKind) -> HolderId {
         let id = HolderId(self.next_id);
@@ -99,10 +104,11 @@
         if charge.bytes > self.total {
             return Decision::Never;
         }
-        if charge.bytes <= self.total - self.used {
+        let left = self.total.saturating_sub(self.used);
+        if charge.bytes <= left {
             return self.grant(now, charge);
         }
-        let missing = charge.bytes - (self.total - self.used);
+        let missing = charge.bytes - left;
         if self.leaving_bytes() >= missing {
             return Decision::Short;
         }
--- a/crates/core/src/gateway/memory/plan.rs
+++ b/crates/core/src/gateway/memory/plan.rs
@@ -7,9 +7,12 @@
 pub const SMALL_BODY_BYTES: usize = 8 * 1024;
 /// Memory of a process whose settings state none.
 const DEFAULT_MEMORY_BYTES: u64 = 512_000_000;
-/// Share of the memory for bodies, heads and answers above [`SMALL_BODY_BYTES`], in
-/// hundredths. A share of 30 is left to the process itself.
-const CHARGED_PERCENT: u64 = 40;
+/// Memory that the process itself takes, in bytes.
+const OWN_BYTES: u64 = 32_000_000;
+/// Share of what is left beside the process and its connections that bodies, heads and
+/// responses above [`SMALL_BODY_BYTES`] may take, in hundredths. The allocator needs the
+/// rest.
+const CHARGED_PERCENT: u64 = 75;
 /// Share of the memory for connections, in hundredths.
 const CONNECTION_PERCENT: u64 = 30;
 /// Most that a connection takes without a charge: the parser's buffer, a small body, the
@@ -25,8 +28,8 @@
 /// What the requests of a process may take of its machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryPlan {
-    /// Most bytes of bodies, heads and answers above [`SMALL_BODY_BYTES`], all together.
-    pub charged_bytes: usize,
+    /// Memory of the process, in bytes.
+    memory: u64,
     /// Most connections that are open at a time.
     pub max_connections: usize,
     /// Size of a connection's receive buffer, in bytes; `None` leaves it to the system
@@ -45,11 +48,22 @@
             u64::from((descriptors - files) / 4 * 3)
         });
         Self {
-            charged_bytes: saturating_usize(memory * CHARGED_PERCENT / 100),
+            memory,
             max_connections: saturating_usize(by_memory.min(by_descriptors)).max(MIN_CONNECTIONS),
             receive_buffer_bytes: resources.memory_bytes.map(|_| RECEIVE_BUFFER_BYTES),
         }
     }
+
+    /// Returns how many bytes of bodies, heads and responses above [`SMALL_BODY_BYTES`] the
+    /// process may hold while it has this many connections.
+    pub fn charged_bytes(&self, connections: usize) -> usize {
+        let connections = (connections as u64).saturating_mul(CONNECTION_BYTES);
+        let left = self
+            .memory
+            .saturating_sub(OWN_BYTES)
+            .saturating_sub(connections);
+        saturating_usize(left * CHARGED_PERCENT / 100)
+    }
 }
 
 fn saturating_usize(number: u64) -> usize {
--- a/crates/core/tests/gateway_memory.rs
+++ b/crates/core/tests/gateway_memory.rs
@@ -198,6 +198,7 @@
         max_descriptors: Some(4_200),
         cores: None,
     });
-    assert!(plan.charged_bytes >= 8 * LARGEST_BODY, "{plan:?}");
+    let charged = plan.charged_bytes(plan.max_connections);
+    assert!(charged >= 8 * LARGEST_BODY, "{charged} bytes");
     assert!(plan.max_connections >= 1_000, "{plan:?}");
 }
--- a/src/command/dev.rs
+++ b/src/command/dev.rs
@@ -17,6 +17,7 @@
 
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::fleet::KeyHash;
+use wisteriawick_core::hosting::Resources;
 use wisteriawick_core::ids::PlaceId;
 use wisteriawick_core::ids::ProcessId;
 use wisteriawick_core::ids::ServiceId;
@@ -209,6 +210,7 @@
             http_address: loopback(self.entry_port(0)),
             ops_address: loopback(self.entry_port(1)),
             ops_token_hashes: vec![KeyHash::new(DEV_OPERATOR_TOKEN)],
+            resources: Resources::default(),
         });
         let settings = self.settings(name, place, role)?;
         let metrics = telemetry::init();
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -15,6 +15,7 @@
 mod ledger_task;
 mod ops_api;
 mod router_task;
+mod slotted_stream;
 mod watcher;
 
 use std::net::SocketAddr;
@@ -28,12 +29,16 @@
 use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use wisteriawick_core::gateway::MemoryPlan;
 use wisteriawick_core::ids::ProcessId;
 use wisteriawick_core::membership::MemberState;
 use wisteriawick_core::time::SharedClock;
 
 pub(crate) use watcher::HEAD_OBJECT;
 
+use crate::accept;
+use crate::connection_slots::ConnectionSlots;
+use crate::connection_slots::GiveWay;
 use crate::entry::directory::Directory;
 use crate::entry::directory::LinkTable;
 use crate::entry::http_server::HttpServer;
@@ -42,6 +47,7 @@
 use crate::entry::router_task::RouterHandle;
 use crate::error::Error;
 use crate::error::Result;
+use crate::gateway::memory::RequestMemory;
 use crate::link::spawn_listener;
 use crate::node::Node;
 use crate::platform::PlatformClient;
@@ -53,6 +59,8 @@
 /// balancer stops sending requests before connections are refused.
 const NOT_READY_DELAY: Duration = Duration::from_millis(500);
 
+/// Time between two exports of what calls hold.
+const MEMORY_REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time at the end of a shutdown in which the callers of unfinished calls get a response.
 const LAST_RESPONSES_DURATION: Duration = Duration::from_secs(1);
 /// Time at the end of a shutdown for the operators' port and the exit of the process.
@@ -70,12 +78,28 @@
     pub(crate) settings: EntrySettings,
     /// Renders the metrics, if this process exports them.
     pub(crate) metrics: Option<PrometheusHandle>,
+    /// Memory that calls hold.
+    pub(crate) memory: Arc<RequestMemory>,
     /// Tasks of calls in progress; a shutdown waits for them.
     pub(crate) calls: TaskTracker,
     /// Cancelled when calls can't be finished any more, because the shutdown ends.
     pub(crate) ending: CancellationToken,
 }
 
+/// Exports what calls hold of the memory, and logs refusals.
+async fn report_memory(context: Arc<EntryContext>, cx: CancellationToken) {
+    let mut ticks = tokio::time::interval(MEMORY_REPORT_INTERVAL);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = cx.cancelled() => return,
+        }
+        context
+            .memory
+            .report(|refusals| log::warn!("memory is short: {refusals}; raise entry.memory_mb"));
+    }
+}
+
 /// A running entry.
 #[derive(Clone, Debug)]
 pub struct Entry {
@@ -135,6 +159,8 @@
             },
         )?;
         let ledger = LedgerClient::new(Arc::clone(&node), local, links.clone());
+        let plan = MemoryPlan::new(&role.resources);
+        let callers = ConnectionSlots::new(plan.max_connections, GiveWay::Waiting);
         let context = Arc::new(EntryContext {
             node: Arc::clone(&node),
             router,
@@ -142,9 +168,11 @@
             links,
             settings: role.clone(),
             metrics,
+            memory: RequestMemory::new(plan, Arc::clone(&callers)),
             calls: TaskTracker::new(),
             ending: CancellationToken::new(),
         });
+        tokio::spawn(report_memory(Arc::clone(&context), cx.clone()));
         tokio::spawn(watcher::run(Arc::clone(&node), platform, cx.clone()));
         let tls = settings.tls.clone();
         let reload_node = Arc::clone(&node);
@@ -152,9 +180,16 @@
         tokio::spawn(async move { reload_node.reload_tls(&tls, reload_cx).await });
 
         let http_routes = http_api::routes(Arc::clone(&context));
-        let http = HttpServer::start(role.http_address, http_routes).await?;
+        let http = HttpServer::start(
+            role.http_address,
+            http_routes,
+            callers,
+            plan.receive_buffer_bytes,
+        )
+        .await?;
         let ops_routes = ops_api::routes(Arc::clone(&context));
-        let ops = HttpServer::start(role.ops_address, ops_routes).await?;
+        let ops =
+            HttpServer::start(role.ops_address, ops_routes, accept::side_slots(), None).await?;
         Ok(Self {
             node,
             link_address,
--- a/src/entry/http_api.rs
+++ b/src/entry/http_api.rs
@@ -17,7 +17,6 @@
 use salvo::Request;
 use salvo::Response;
 use salvo::async_trait;
-use salvo::http::ParseError;
 use salvo::http::ReqBody;
 use salvo::http::StatusCode;
 use serde_json::json;
@@ -40,9 +39,14 @@
 use crate::entry::caller::authenticate;
 use crate::entry::caller::read_chat;
 use crate::entry::caller::read_plain;
+use crate::gateway::memory::RequestMemory;
+use crate::gateway::request_body::ReceiveError;
+use crate::gateway::request_body::receive_bytes;
 
 /// Maximum size of a request body.
 pub(crate) const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Longest time for a whole body. A body of the largest size needs 2.2 Mbit/s.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum number of bytes of a refused body that are read before the response is sent.
 const MAX_DISCARDED_BYTES: usize = 64 * 1024 * 1024;
 /// Response header that says whether the request ran: `ran`, `not-run` or `unknown`.
@@ -157,7 +161,7 @@
     }
 
     async fn read_caller(&self, req: &mut Request) -> Result<CallerRequest, (StatusCode, String)> {
-        let body = read_body(req).await?;
+        let body = read_body(&self.context.memory, req).await?;
         let fleet = self.context.node.config.fleet();
         let service = req.param::<String>("service");
         let method = req.method().clone();
@@ -233,21 +237,36 @@
     }
 }
 
-async fn read_body(req: &mut Request) -> Result<Bytes, (StatusCode, String)> {
+async fn read_body(
+    memory: &Arc<RequestMemory>,
+    req: &mut Request,
+) -> Result<Bytes, (StatusCode, String)> {
     if declared_length(req) > MAX_BODY_BYTES {
         // Without this, a caller that is still sending its body would get a connection
         // reset instead of the response.
-        discard(req.take_body()).await;
+        let discarded = discard(req.take_body());
+        // A caller that stops before its end gets the response all the same.
+        let _ = tokio::time::timeout(BODY_TIMEOUT, discarded).await;
         return Err(too_large());
     }
-    match req.payload_with_max_size(MAX_BODY_BYTES).await {
-        Ok(body) => Ok(body.clone()),
-        Err(ParseError::PayloadTooLarge) => Err(too_large()),
-        Err(e) => Err((
+    let received = receive_bytes(memory, req.take_body(), MAX_BODY_BYTES);
+    let received = tokio::time::timeout(BODY_TIMEOUT, received);
+    let Ok(received) = received.await else {
+        let message = "the body did not arrive in time; send it again".to_string();
+        return Err((StatusCode::REQUEST_TIMEOUT, message));
+    };
+    received.map_err(|e| match e {
+        ReceiveError::TooLong => too_large(),
+        ReceiveError::Broken => (
             StatusCode::BAD_REQUEST,
-            format!("the body cannot be read ({e}); send it whole"),
-        )),
-    }
+            "the body cannot be read; send it whole".to_string(),
+        ),
+        ReceiveError::Memory(short) => {
+            memory.record_refusal(short.into());
+            let message = format!("{short}; send the request again");
+            (StatusCode::SERVICE_UNAVAILABLE, message)
+        }
+    })
 }
 
 fn stopping() -> (StatusCode, String) {
--- a/src/entry/http_server.rs
+++ b/src/entry/http_server.rs
@@ -1,7 +1,11 @@
 //! An HTTP server of an entry, which can stop without losing a request.
 
 use std::io;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
 use salvo::conn::Accepted;
 use salvo::conn::Acceptor;
@@ -9,14 +13,29 @@
 use salvo::conn::Listener;
 use salvo::conn::TcpListener;
 use salvo::conn::tcp::TcpAcceptor;
+use salvo::conn::tcp::TcpCoupler;
 use salvo::fuse::ArcFusePolicy;
+use salvo::fuse::FuseConfig;
 use salvo::server::ServerHandle;
+use socket2::SockRef;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::connection_slots::ConnectionSlots;
+use crate::entry::slotted_stream::SlottedStream;
 use crate::error::Error;
 use crate::error::Result;
 
+/// Largest head, in bytes. The parser reads no more of a body at once.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Longest time for a head, and between two requests.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest time for which a caller may not read its response.
+const READER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Stands for a peer without an IP address.
+const UNKNOWN_PEER: IpAddr = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
+
 /// A running HTTP server.
 #[derive(Clone, Debug)]
 pub(crate) struct HttpServer {
@@ -32,12 +51,18 @@
 }
 
 impl HttpServer {
-    /// Starts to serve at an address.
+    /// Starts to serve at an address. Connections beyond the bound replace others;
+    /// `receive_buffer` is the size in bytes of what the system receives for one.
     ///
     /// # Errors
     ///
     /// Fails when the address is in use.
-    pub(crate) async fn start(address: SocketAddr, routes: salvo::Router) -> Result<Self> {
+    pub(crate) async fn start(
+        address: SocketAddr,
+        routes: salvo::Router,
+        slots: Arc<ConnectionSlots>,
+        receive_buffer: Option<usize>,
+    ) -> Result<Self> {
         let listen_error = |message: String| Error::Listen {
             address: address.to_string(),
             message,
@@ -46,17 +71,29 @@
             .try_bind()
             .await
             .map_err(|e| listen_error(e.to_string()))?;
+        if let Some(bytes) = receive_buffer {
+            // Connections that the listener accepts inherit the size.
+            SockRef::from(acceptor.inner())
+                .set_recv_buffer_size(bytes)
+                .map_err(|e| listen_error(e.to_string()))?;
+        }
         let bound = acceptor
             .holdings()
             .first()
             .and_then(|holding| holding.local_addr.clone().into_std())
             .ok_or_else(|| listen_error("no local address".into()))?;
         let (closing, closed) = (CancellationToken::new(), CancellationToken::new());
-        let server = salvo::Server::new(ClosingAcceptor {
+        let mut server = salvo::Server::new(ClosingAcceptor {
             acceptor: Some(acceptor),
+            slots,
             closing: closing.clone(),
             closed: closed.clone(),
         });
+        server.http1_mut().max_buf_size(MAX_HEAD_BYTES);
+        let limits = FuseConfig::default()
+            .with_http1_header_timeout(HEAD_TIMEOUT)
+            .with_write_stall_timeout(READER_TIMEOUT);
+        let server = server.fuse_config(limits);
         let handle = server.handle();
         let task = TaskTracker::new();
         task.spawn(server.serve(routes));
@@ -87,13 +124,14 @@
 struct ClosingAcceptor {
     /// `None` when the listener is closed.
     acceptor: Option<TcpAcceptor>,
+    slots: Arc<ConnectionSlots>,
     closing: CancellationToken,
     closed: CancellationToken,
 }
 
 impl Acceptor for ClosingAcceptor {
-    type Coupler = <TcpAcceptor as Acceptor>::Coupler;
-    type Stream = <TcpAcceptor as Acceptor>::Stream;
+    type Coupler = TcpCoupler<Self::Stream>;
+    type Stream = SlottedStream<<TcpAcceptor as Acceptor>::Stream>;
 
     fn holdings(&self) -> &[Holding] {
         self.acceptor.as_ref().map_or(&[], Acceptor::holdings)
@@ -103,16 +141,24 @@
         &mut self,
         fuse_policy: Option<ArcFusePolicy>,
     ) -> io::Result<Accepted<Self::Coupler, Self::Stream>> {
-        if let Some(acceptor) = &mut self.acceptor {
-            tokio::select! {
+        while let Some(acceptor) = &mut self.acceptor {
+            let accepted = tokio::select! {
                 // Connections that are established already are accepted.
                 biased;
-                accepted = acceptor.accept(fuse_policy) => {
-                    if accepted.is_ok() || !self.closing.is_cancelled() {
-                        return accepted;
-                    }
-                }
-                () = self.closing.cancelled() => {}
+                accepted = acceptor.accept(fuse_policy.clone()) => accepted,
+                () = self.closing.cancelled() => break,
+            };
+            let accepted = match accepted {
+                Ok(accepted) => accepted,
+                Err(_) if self.closing.is_cancelled() => break,
+                Err(e) => return Err(e),
+            };
+            let peer = accepted.remote_addr.ip().unwrap_or(UNKNOWN_PEER);
+            // A connection that gave way closes before the next one is accepted.
+            tokio::task::yield_now().await;
+            if let Some(slot) = self.slots.enter(peer) {
+                let to_stream = |stream| SlottedStream::new(stream, slot);
+                return Ok(accepted.map_into(|_| TcpCoupler::new(), to_stream));
             }
         }
         self.acceptor = None;
--- a/src/gateway/buffered_body.rs
+++ b/src/gateway/buffered_body.rs
@@ -12,6 +12,7 @@
 use hyper::body::SizeHint;
 
 use crate::gateway::memory::HeldMemory;
+use crate::gateway::memory::held_bytes;
 
 /// Size of the parts in which a body is handed to the connection, in bytes. The caller
 /// makes progress with each.
@@ -26,17 +27,6 @@
     held: Option<Arc<HeldMemory>>,
 }
 
-struct HeldBytes {
-    bytes: Vec<u8>,
-    _held: Arc<HeldMemory>,
-}
-
-impl AsRef<[u8]> for HeldBytes {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 impl BufferedBody {
     /// Returns a body that holds this much of the budget.
     pub(crate) fn new(bytes: Vec<u8>, held: Option<HeldMemory>) -> Self {
@@ -48,12 +38,8 @@
         };
         held.begin_response(bytes.capacity());
         let held = Arc::new(held);
-        let owner = HeldBytes {
-            bytes,
-            _held: Arc::clone(&held),
-        };
         Self {
-            rest: Bytes::from_owner(owner),
+            rest: held_bytes(bytes, Arc::clone(&held)),
             held: Some(held),
         }
     }
--- a/src/gateway/memory.rs
+++ b/src/gateway/memory.rs
@@ -8,8 +8,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use metrics::counter;
 use metrics::gauge;
+use serde_json::Value;
 use serde_json::json;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -21,8 +23,7 @@
 use wisteriawick_core::gateway::MemoryBudget;
 use wisteriawick_core::gateway::MemoryPlan;
 
-use crate::eventlog::EventCategory;
-use crate::eventlog::EventLog;
+use crate::connection_slots::ConnectionSlots;
 use crate::telemetry;
 
 /// Longest wait for memory. The client's bytes stay in its connection meanwhile.
@@ -54,6 +55,7 @@
 #[derive(Debug)]
 pub(crate) struct RequestMemory {
     plan: MemoryPlan,
+    connections: Arc<ConnectionSlots>,
     inner: Mutex<Inner>,
     /// Notified when memory comes back.
     released: Notify,
@@ -108,11 +110,13 @@
 }
 
 impl RequestMemory {
-    pub(crate) fn new(plan: MemoryPlan) -> Arc<Self> {
+    /// Returns the memory that is left beside these connections.
+    pub(crate) fn new(plan: MemoryPlan, connections: Arc<ConnectionSlots>) -> Arc<Self> {
         Arc::new(Self {
             plan,
+            connections,
             inner: Mutex::new(Inner {
-                budget: MemoryBudget::new(plan.charged_bytes),
+                budget: MemoryBudget::new(plan.charged_bytes(0)),
                 give_way: HashMap::default(),
             }),
             released: Notify::new(),
@@ -148,8 +152,9 @@
         counter!(telemetry::MEMORY_REFUSALS, "reason" => reason).increment(1);
     }
 
-    /// Exports the gauges, and logs what was refused since the last call.
-    pub(crate) fn report(&self, log: &EventLog) {
+    /// Exports the gauges, and passes on what was refused since the last time, at most once
+    /// a second.
+    pub(crate) fn report(&self, log: impl FnOnce(Value)) {
         let (used, peak, holders) = {
             let inner = self.lock();
             let budget = &inner.budget;
@@ -167,10 +172,10 @@
                 "gave_way": refusals.gave_way,
                 "heads": refusals.heads,
                 "held_bytes": used,
-                "of_bytes": self.plan.charged_bytes,
+                "of_bytes": self.total(),
                 "holders": holders,
             });
-            log.line(EventCategory::Failure, "memory_short", fields);
+            log(fields);
         }
     }
 
@@ -178,9 +183,15 @@
         self.inner.lock().expect("no holder panics")
     }
 
+    fn total(&self) -> usize {
+        self.plan.charged_bytes(self.connections.count())
+    }
+
     /// Charges bytes if there is room. If others can make room, they are told to.
     fn try_charge(&self, charge: Charge) -> Decision {
+        let total = self.total();
         let mut inner = self.lock();
+        inner.budget.set_total(total);
         loop {
             let decision = inner.budget.charge(Instant::now(), charge);
             match decision {
@@ -195,6 +206,22 @@
     }
 }
 
+/// Returns bytes that hold memory until the last part of them is dropped.
+pub(crate) fn held_bytes(bytes: Vec<u8>, held: Arc<HeldMemory>) -> Bytes {
+    struct Owner {
+        bytes: Vec<u8>,
+        _held: Arc<HeldMemory>,
+    }
+
+    impl AsRef<[u8]> for Owner {
+        fn as_ref(&self) -> &[u8] {
+            &self.bytes
+        }
+    }
+
+    Bytes::from_owner(Owner { bytes, _held: held })
+}
+
 /// Memory that a request holds, which comes back when this is dropped.
 #[derive(Debug)]
 pub(crate) struct HeldMemory {
--- a/src/gateway/request_body.rs
+++ b/src/gateway/request_body.rs
@@ -11,7 +11,6 @@
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::gateway::HolderKind;
@@ -20,6 +19,7 @@
 use crate::gateway::memory::HeldMemory;
 use crate::gateway::memory::MemoryShort;
 use crate::gateway::memory::RequestMemory;
+use crate::gateway::memory::held_bytes;
 
 /// Size of the parts in which a larger body is held.
 const PART_BYTES: usize = 64 * 1024;
@@ -102,26 +102,53 @@
 /// fails before anything is read.
 pub(crate) async fn receive(
     memory: &Arc<RequestMemory>,
-    body: Incoming,
+    body: impl Body<Data = Bytes> + Unpin,
     limit: usize,
 ) -> Result<RequestBody, ReceiveError> {
-    let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    if declared > limit {
-        return Err(ReceiveError::TooLong);
-    }
-    let mut receiver = Receiver {
-        memory,
-        held: None,
-        parts: Vec::new(),
-        current: BytesMut::with_capacity(declared.min(SMALL_BODY_BYTES)),
-        length: 0,
-    };
-    receiver.receive(body, limit).await?;
+    let receiver = Receiver::receive_all(memory, body, limit).await?;
     receiver.finish()
 }
 
-impl Receiver<'_> {
-    async fn receive(&mut self, mut body: Incoming, limit: usize) -> Result<(), ReceiveError> {
+/// As [`receive`], in one piece.
+///
+/// # Errors
+///
+/// As [`receive`].
+pub(crate) async fn receive_bytes(
+    memory: &Arc<RequestMemory>,
+    body: impl Body<Data = Bytes> + Unpin,
+    limit: usize,
+) -> Result<Bytes, ReceiveError> {
+    let receiver = Receiver::receive_all(memory, body, limit).await?;
+    receiver.finish_bytes()
+}
+
+impl<'a> Receiver<'a> {
+    async fn receive_all(
+        memory: &'a Arc<RequestMemory>,
+        body: impl Body<Data = Bytes> + Unpin,
+        limit: usize,
+    ) -> Result<Self, ReceiveError> {
+        let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+        if declared > limit {
+            return Err(ReceiveError::TooLong);
+        }
+        let mut receiver = Self {
+            memory,
+            held: None,
+            parts: Vec::new(),
+            current: BytesMut::with_capacity(declared.min(SMALL_BODY_BYTES)),
+            length: 0,
+        };
+        receiver.receive(body, limit).await?;
+        Ok(receiver)
+    }
+
+    async fn receive(
+        &mut self,
+        mut body: impl Body<Data = Bytes> + Unpin,
+        limit: usize,
+    ) -> Result<(), ReceiveError> {
         loop {
             let frame = match &self.held {
                 None => body.frame().await,
@@ -182,6 +209,20 @@
         Ok(())
     }
 
+    fn finish_bytes(self) -> Result<Bytes, ReceiveError> {
+        let Some(held) = self.held else {
+            return Ok(self.current.freeze());
+        };
+        held.complete()?;
+        // Each part is freed when it is copied, so that the body is held about once.
+        let mut bytes = Vec::with_capacity(self.length);
+        for part in self.parts {
+            bytes.extend_from_slice(&part);
+        }
+        bytes.extend_from_slice(&self.current);
+        Ok(held_bytes(bytes, Arc::new(held)))
+    }
+
     fn finish(mut self) -> Result<RequestBody, ReceiveError> {
         if let Some(held) = &self.held {
             held.complete()?;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -149,9 +149,10 @@
         // Two processes with equal identifiers would each use the other's share.
         let mut rng = SmallRng::seed_from_u64(rand::random());
         let plan = MemoryPlan::new(&settings.resources);
+        let connections = ConnectionSlots::new(plan.max_connections, GiveWay::Waiting);
         Self {
-            memory: RequestMemory::new(plan),
-            connections: ConnectionSlots::new(plan.max_connections, GiveWay::Waiting),
+            memory: RequestMemory::new(plan, Arc::clone(&connections)),
+            connections,
             store: StoreClient::new(settings.store),
             upstreams: UpstreamPool::default(),
             body_budget: BodyBudget::default(),
@@ -573,7 +574,11 @@
         }
         state.refresh_shares();
         state.report_gauges();
-        state.memory.report(&state.log);
+        state.memory.report(|fields| {
+            state
+                .log
+                .line(EventCategory::Failure, "memory_short", fields);
+        });
         state.log_breaks();
         state.dispatch_all();
         state.upstreams.close_idle(state.now());
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use wisteriawick_core::fleet::KeyHash;
+use wisteriawick_core::hosting::Resources;
 use wisteriawick_core::ids::PlaceId;
 use wisteriawick_core::ids::ProcessId;
 use wisteriawick_core::ids::ServiceId;
@@ -37,6 +38,8 @@
     pub ops_address: SocketAddr,
     /// Hashes of the tokens that authenticate operators.
     pub ops_token_hashes: Vec<KeyHash>,
+    /// What the machine gives to the process.
+    pub resources: Resources,
 }
 
 /// Settings of an agent.
--- a/src/settings/wire.rs
+++ b/src/settings/wire.rs
@@ -6,6 +6,7 @@
 
 use serde::Deserialize;
 use wisteriawick_core::fleet::KeyHash;
+use wisteriawick_core::hosting::Resources;
 use wisteriawick_core::ids::PlaceId;
 use wisteriawick_core::ids::ProcessId;
 use wisteriawick_core::ids::ServiceId;
@@ -116,8 +117,17 @@
     http_address: String,
     ops_address: String,
     ops_token_hashes: Vec<String>,
+    /// Memory of the process, in megabytes.
+    memory_mb: Option<u64>,
+    /// Most descriptors that it may have open.
+    max_descriptors: Option<u32>,
 }
 
+/// Least memory of an entry: one body of the largest size and the process itself.
+const MIN_MEMORY_MB: u64 = 64;
+/// Fewest descriptors of an entry: files, links and some callers.
+const MIN_DESCRIPTORS: u32 = 256;
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct AgentWire {
@@ -189,6 +199,7 @@
             http_address: parse_address("entry.http_address", &entry.http_address)?,
             ops_address: parse_address("entry.ops_address", &entry.ops_address)?,
             ops_token_hashes: parse_token_hashes(&entry.ops_token_hashes)?,
+            resources: parse_resources(&entry)?,
         })),
         (None, Some(agent)) => Ok(RoleSettings::Agent(AgentSettings {
             service: ServiceId::new(agent.service),
@@ -202,6 +213,34 @@
     }
 }
 
+fn parse_resources(entry: &EntryWire) -> Result<Resources, FieldError> {
+    const BYTES_PER_MEGABYTE: u64 = 1_000_000;
+    if let Some(megabytes) = entry.memory_mb
+        && megabytes < MIN_MEMORY_MB
+    {
+        return Err(FieldError {
+            key: "entry.memory_mb",
+            problem: format!("{megabytes} MB are too few"),
+            remedy: "use 64 or more, or leave it out for 512",
+        });
+    }
+    if let Some(descriptors) = entry.max_descriptors
+        && descriptors < MIN_DESCRIPTORS
+    {
+        return Err(FieldError {
+            key: "entry.max_descriptors",
+            problem: format!("{descriptors} descriptors are too few"),
+            remedy: "use 256 or more, or leave it out for no bound",
+        });
+    }
+    let memory = entry.memory_mb;
+    Ok(Resources {
+        memory_bytes: memory.map(|megabytes| megabytes.saturating_mul(BYTES_PER_MEGABYTE)),
+        max_descriptors: entry.max_descriptors,
+        cores: None,
+    })
+}
+
 fn parse_token_hashes(texts: &[String]) -> Result<Vec<KeyHash>, FieldError> {
     texts
         .iter()
