Memory: any stated size is divided; check compares bodies with the entry's own plan

A memory near the largest number overflowed the division. The check of a declaration had a share of its own for the largest body; it now asks the plan by which an entry divides its machine, so both say the same.

--- a/crates/core/src/gateway/competition.rs
+++ b/crates/core/src/gateway/competition.rs
@@ -1,7 +1,7 @@
 //! Decides between callers that compete for too little room.
 //!
 //! The pool asks it at each arrival and each time that room changes: what goes before a
-//! request, how long that takes, which priority is owed a slot, which queued request gives
+//! request, how long that takes, which priority must get a slot, which queued request gives
 //! way, and when a refused caller should return.
 
 mod arrivals;
--- a/crates/core/src/gateway/competition/floors.rs
+++ b/crates/core/src/gateway/competition/floors.rs
@@ -12,7 +12,7 @@
 /// Least share of the completions that a priority gets, in proportion to its arrivals.
 /// Callers of a kind count as starved below a quarter.
 const FLOOR_SHARE: f64 = 1.0 / 3.0;
-/// Most requests that a priority is owed: it doesn't save up turns while it has none.
+/// Most turns that a priority saves up while it has no request.
 const MAX_OWED: f64 = 1.0;
 
 /// Turns that priorities are owed.
--- a/crates/core/src/gateway/declaration_check/limits.rs
+++ b/crates/core/src/gateway/declaration_check/limits.rs
@@ -2,12 +2,9 @@
 
 use crate::gateway::DeclarationDraft;
 use crate::gateway::Finding;
+use crate::gateway::MemoryPlan;
 use crate::hosting::Resources;
 
-/// Part of an entry's memory that one body may take. The entry itself and other requests
-/// need the rest.
-const MAX_BODY_SHARE_OF_MEMORY: f64 = 0.25;
-
 pub(super) fn check(
     draft: &DeclarationDraft,
     machine: Option<&Resources>,
@@ -31,13 +28,14 @@
         );
         findings.push(Finding::warning(PLACE, problem, "raise the idle time-out"));
     }
-    let Some(memory) = machine.and_then(|machine| machine.memory_bytes) else {
+    let Some(machine) = machine else {
         return;
     };
-    let most = (memory as f64 * MAX_BODY_SHARE_OF_MEMORY) as u64;
-    if limits.max_body_bytes as u64 > most {
+    let plan = MemoryPlan::new(machine);
+    let most = plan.charged_bytes(plan.max_connections);
+    if limits.max_body_bytes > most {
         let problem = format!(
-            "a body may have {} bytes, more than a quarter of an entry's {memory}",
+            "a body may have {} bytes, but an entry with all its connections has {most} for bodies",
             limits.max_body_bytes
         );
         let remedy = "lower the limit or give entries more memory";
--- a/crates/core/src/gateway/memory/plan.rs
+++ b/crates/core/src/gateway/memory/plan.rs
@@ -41,7 +41,7 @@
     /// Divides what a machine gives to the process.
     pub fn new(resources: &Resources) -> Self {
         let memory = resources.memory_bytes.unwrap_or(DEFAULT_MEMORY_BYTES);
-        let by_memory = memory * CONNECTION_PERCENT / 100 / CONNECTION_BYTES;
+        let by_memory = percent(memory, CONNECTION_PERCENT) / CONNECTION_BYTES;
         let by_descriptors = resources.max_descriptors.map_or(u64::MAX, |descriptors| {
             let files = FILE_DESCRIPTORS.min(descriptors / 2);
             // A quarter is kept for runners, the store and links.
@@ -62,10 +62,15 @@
             .memory
             .saturating_sub(OWN_BYTES)
             .saturating_sub(connections);
-        saturating_usize(left * CHARGED_PERCENT / 100)
+        saturating_usize(percent(left, CHARGED_PERCENT))
     }
 }
 
+/// Returns a share in hundredths, also of numbers near the largest one.
+fn percent(number: u64, hundredths: u64) -> u64 {
+    number / 100 * hundredths + number % 100 * hundredths / 100
+}
+
 fn saturating_usize(number: u64) -> usize {
     usize::try_from(number).unwrap_or(usize::MAX)
 }
--- a/crates/core/tests/gateway_locality.rs
+++ b/crates/core/tests/gateway_locality.rs
@@ -138,7 +138,7 @@
         }
     }
 
-    /// Plays a time with demands in requests per second by data centre, and counts anew.
+    /// Plays a time with demands in requests per second by data centre; counts start at zero.
     fn play(&mut self, time: Duration, demand: impl Fn(f64) -> [f64; 3]) {
         (self.sent, self.left, self.refused) = (0, 0, 0);
         self.shares.clear();
--- a/crates/core/tests/gateway_memory.rs
+++ b/crates/core/tests/gateway_memory.rs
@@ -202,3 +202,19 @@
     assert!(charged >= 8 * LARGEST_BODY, "{charged} bytes");
     assert!(plan.max_connections >= 1_000, "{plan:?}");
 }
+
+#[test]
+fn a_machine_of_any_size_is_divided() {
+    for memory in [0, 1, 32_000_000, u64::MAX] {
+        for descriptors in [0, 1, u32::MAX] {
+            let plan = MemoryPlan::new(&Resources {
+                memory_bytes: Some(memory),
+                max_descriptors: Some(descriptors),
+                cores: None,
+            });
+            assert!(plan.max_connections > 0);
+            let most = plan.charged_bytes(plan.max_connections);
+            assert!(most as u64 <= memory, "{most} of {memory}");
+        }
+    }
+}
