--- a/crates/core/src/gateway/memory/connections.rs
+++ b/crates/core/src/gateway/memory/connections.rs
@@ -131,6 +131,11 @@
         self.open.remove(&id);
     }
 
+    /// Returns whether a new connection gets the place of another one, or none.
+    pub fn is_full(&self) -> bool {
+        self.open.len() >= self.max
+    }
+
     /// Returns the number of open connections.
     pub fn count(&self) -> usize {
         self.open.len()
--- a/src/accept.rs
+++ b/src/accept.rs
@@ -76,8 +76,7 @@
                 () = closing.cancelled() => {}
             }
         });
-        // A connection that gave way closes before the next one is accepted.
-        tokio::task::yield_now().await;
+        slots.let_close().await;
     }
 }
 
--- a/src/connection_slots.rs
+++ b/src/connection_slots.rs
@@ -90,6 +90,15 @@
         })
     }
 
+    /// Lets a connection that gave way close before the next one is accepted. Returns at once
+    /// while there is room.
+    pub(crate) async fn let_close(&self) {
+        let is_full = self.lock().table.is_full();
+        if is_full {
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Returns the number of connections.
     pub(crate) fn count(&self) -> usize {
         self.lock().table.count()
--- a/src/entry/http_server.rs
+++ b/src/entry/http_server.rs
@@ -154,8 +154,7 @@
                 Err(e) => return Err(e),
             };
             let peer = accepted.remote_addr.ip().unwrap_or(UNKNOWN_PEER);
-            // A connection that gave way closes before the next one is accepted.
-            tokio::task::yield_now().await;
+            self.slots.let_close().await;
             if let Some(slot) = self.slots.enter(peer) {
                 let to_stream = |stream| SlottedStream::new(stream, slot);
                 return Ok(accepted.map_into(|_| TcpCoupler::new(), to_stream));
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -243,8 +243,7 @@
                         let state = Arc::clone(state);
                         tracker.spawn(serve_connection(stream, slot, state, close.clone()));
                     }
-                    // A connection that gave way closes before the next one is accepted.
-                    tokio::task::yield_now().await;
+                    state.connections.let_close().await;
                 }
                 Err(e) => {
                     let fields = json!({"error": e.to_string()});
