--- a/crates/core/src/gateway/memory/budget.rs
+++ b/crates/core/src/gateway/memory/budget.rs
@@ -57,7 +57,8 @@
 /// It answers the load of clients that send much at once, or stop halfway. Holders that
 /// make no progress give way first, the largest of them before others; then the newest
 /// that is still being received, so that those that came first reach their end and no two
-/// wait for each other. What a runner sends goes before what is being received. A complete request never gives way.
+/// wait for each other. What a runner sends goes before what is being received. A complete
+/// request never gives way.
 #[derive(Debug)]
 pub struct MemoryBudget {
     total: usize,
