--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -86,8 +86,8 @@
     }
 
     /// Returns what the leader of a group is to know: the demand for services whose
-    /// runners have limits or may turn cold, and the limits of the group's runners and of those that belong
-    /// to no group.
+    /// runners have limits or may turn cold, and the limits of the group's runners and of
+    /// those that belong to no group.
     pub(crate) fn limit_report(&self, group: &str) -> LimitReport {
         let now = self.now();
         let mut report = LimitReport::default();
