Runners outside a group keep their bound when a stream pauses

A plain service has no passes and no reports: its bound stood always, and stands again. Growth did not change it, as it begins at the most.

--- a/crates/core/src/gateway/silent_runners/bound.rs
+++ b/crates/core/src/gateway/silent_runners/bound.rs
@@ -107,7 +107,12 @@
         }
     }
 
+    /// Halves the bound of a rank. A runner outside a group always has the same bound: its
+    /// pauses are its own, and what it can't take it refuses.
     fn halve(&mut self, now: Instant, limits: &PoolLimits) {
+        if !limits.has_groups {
+            return;
+        }
         let is_past = |at| now.saturating_duration_since(at) >= HALVING_INTERVAL;
         if self.halved_at.is_none_or(is_past) {
             self.halved_at = Some(now);
