--- a/crates/core/src/gateway/pool/locality.rs
+++ b/crates/core/src/gateway/pool/locality.rs
@@ -48,8 +48,8 @@
 
 /// Largest [`Candidate::slack`]: half of a runner's slots, and what a cold runner costs.
 const MAX_SLACK: f64 = 0.5;
-/// Share of failed requests from which on a runner counts as no room for more. Requests
-/// that fail at once look like a low load.
+/// Share of failed requests from which on a runner is left out of the load of its data
+/// centre: requests that fail at once look like a low load.
 const MAX_FAILURE_SHARE: f64 = 0.3;
 
 impl<'a> Candidate<'a> {
