--- a/review/common-2/mod.rs
+++ b/review/common-2/mod.rs
@@ -309,6 +309,7 @@
 }
 
 /// The settings of an entry, with the figures of the smallest deployment.
+#[derive(Clone)]
 pub struct EntrySettings {
     pub name: &'static str,
     pub ip: IpAddr,
