A status that promises "not run" reaches callers only with a proof

Cause: retries were decided by the mark with which a runner states that it did not execute a request, but the caller got the runner's status, whatever it was. Without the mark a runner promises nothing. 503 was relayed as a failure, 408 and 429 as a success, and 421 was taken for a proof. In fleets of our own an entry relayed such statuses of an endpoint, and sent 429 or 503 of its own for a call of which an attempt had begun.

Change: a response proves that its request was not executed by the mark, or as a 421 that names another runner (as the wire examples of the platform have it). Any other 408, 421, 429 or 503 is a failed attempt whose response is dropped: it is retried where the request may run again, else the caller gets 502 without the signature. Calls in fleets of our own get 502 with the outcome `unknown`. New metric wisteriawick_unproven_refusals_total.

--- a/crates/core/src/ledger/snapshot.rs
+++ b/crates/core/src/ledger/snapshot.rs
@@ -4,12 +4,14 @@
 
 use bytes::Bytes;
 
+use crate::call::Outcome;
 use crate::ids::Fingerprint;
 use crate::ids::Incarnation;
 use crate::ids::ProcessId;
 use crate::ids::Term;
 use crate::ledger::ClaimId;
 use crate::ledger::KeyDigest;
+use crate::response_status::promises_not_run;
 
 /// Upper estimate of the bytes that a stored record takes without a response body.
 const RECORD_BASE_BYTES: usize = 220;
@@ -37,6 +39,15 @@
             body: (body.len() <= Self::MAX_BODY_BYTES).then_some(body),
         }
     }
+
+    /// Returns whether the request ran, as far as the endpoint's response shows. A status
+    /// that promises the contrary proves neither.
+    pub fn outcome(&self) -> Outcome {
+        match promises_not_run(self.status) {
+            true => Outcome::Unknown,
+            false => Outcome::Ran,
+        }
+    }
 }
 
 /// The progress of a keyed call.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod ledger;
 pub mod maps;
 pub mod membership;
+pub mod response_status;
 pub mod router;
 pub mod ticket;
 pub mod time;
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -50,8 +50,9 @@
 impl PlainService {
     /// Starts an instance on a loopback port; zero lets the system choose.
     ///
-    /// `POST /bookings` with `{"id": ..., "wait_ms": ...}` records a booking and
-    /// responds after the wait; `GET /jobs/{id}` looks up a job.
+    /// `POST /bookings` with `{"id": ..., "wait_ms": ..., "status": ...}` records a booking
+    /// and responds after the wait, with status 200 if none is given; `GET /jobs/{id}` looks
+    /// up a job.
     ///
     /// # Errors
     ///
@@ -108,5 +109,9 @@
     log.record(&id);
     let wait = body["wait_ms"].as_u64().unwrap_or(0);
     tokio::time::sleep(Duration::from_millis(wait)).await;
-    json_response(StatusCode::OK, &json!({ "booked": id, "by": name }))
+    let status = body["status"]
+        .as_u64()
+        .and_then(|status| StatusCode::from_u16(status as u16).ok())
+        .unwrap_or(StatusCode::OK);
+    json_response(status, &json!({ "booked": id, "by": name }))
 }
--- a/src/entry/call_task.rs
+++ b/src/entry/call_task.rs
@@ -367,7 +367,7 @@
                 self.send_stream_item(StreamItem::End).await;
             }
             Output::Respond { response, replayed } => {
-                self.count(Outcome::Ran);
+                self.count(response.outcome());
                 self.send_response(CallerResponse::Buffered { response, replayed });
             }
             Output::Fail(failure, outcome) => self.fail(failure, outcome).await,
--- a/src/entry/http_api.rs
+++ b/src/entry/http_api.rs
@@ -27,6 +27,7 @@
 use wisteriawick_core::ledger::CallKey;
 use wisteriawick_core::ledger::LedgerReply;
 use wisteriawick_core::ledger::RecordedResponse;
+use wisteriawick_core::response_status::promises_not_run;
 
 use crate::entry::EntryContext;
 use crate::entry::call_task;
@@ -152,10 +153,10 @@
                 buffered_response(res, response, replayed)
             }
             Ok(CallerResponse::Stream(items)) => streamed_response(res, items),
-            Ok(CallerResponse::Failed(failure, outcome)) => failure_response(res, failure, outcome),
+            Ok(CallerResponse::Failed(failure, outcome)) => call_failed(res, failure, outcome),
             Err(_) => {
                 log::error!("a call of {service} ended without a response");
-                failure_response(res, Failure::CutOff, Outcome::Unknown);
+                call_failed(res, Failure::CutOff, Outcome::Unknown);
             }
         }
     }
@@ -226,13 +227,13 @@
         };
         match reply {
             LedgerReply::Done(response) => buffered_response(res, response, true),
-            LedgerReply::InProgress => failure_response(res, Failure::InProgress, Outcome::Unknown),
+            LedgerReply::InProgress => lookup_failed(res, Failure::InProgress, Outcome::Unknown),
             LedgerReply::Absent => {
                 // The call may be in transit and claimed later, so its outcome is not known.
                 let message = "no call with this key is recorded; send it again with the same key";
                 error_response(res, StatusCode::NOT_FOUND, message, Outcome::Unknown, None);
             }
-            _ => failure_response(res, Failure::LedgerUnavailable, Outcome::Unknown),
+            _ => lookup_failed(res, Failure::LedgerUnavailable, Outcome::Unknown),
         }
     }
 }
@@ -345,12 +346,14 @@
 }
 
 fn buffered_response(res: &mut Response, response: RecordedResponse, replayed: bool) {
-    set_outcome(res, Outcome::Ran);
+    let outcome = response.outcome();
+    set_outcome(res, outcome);
     if replayed {
         let value = HeaderValue::from_static("true");
         res.headers_mut().insert(REPLAYED_HEADER, value);
     }
-    res.status_code(StatusCode::from_u16(response.status).unwrap_or(StatusCode::BAD_GATEWAY));
+    let status = StatusCode::from_u16(response.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    res.status_code(proven_status(status, outcome));
     if let Ok(value) = HeaderValue::from_str(&response.content_type)
         && !response.content_type.is_empty()
     {
@@ -362,8 +365,8 @@
         }
         None => {
             res.body(error_body(
-                "the call ran; its answer was too large to keep",
-                Outcome::Ran,
+                "the call was answered; its answer was too large to keep",
+                outcome,
             ));
         }
     }
@@ -391,8 +394,32 @@
     res.stream(events);
 }
 
-fn failure_response(res: &mut Response, failure: Failure, outcome: Outcome) {
-    let (status, retry_after) = match failure {
+/// Returns the status of a response to a call. One that promises that the call did not run
+/// stands only where that is proven.
+fn proven_status(status: StatusCode, outcome: Outcome) -> StatusCode {
+    match outcome != Outcome::NotRun && promises_not_run(status.as_u16()) {
+        true => StatusCode::BAD_GATEWAY,
+        false => status,
+    }
+}
+
+/// Responds to a call that has no complete response.
+fn call_failed(res: &mut Response, failure: Failure, outcome: Outcome) {
+    let (status, retry_after) = failure_status(failure);
+    let retry_after = retry_after.filter(|_| outcome == Outcome::NotRun);
+    let status = proven_status(status, outcome);
+    error_response(res, status, &failure.to_string(), outcome, retry_after);
+}
+
+/// Responds to a lookup without a result; the status is that of the lookup, and `outcome`
+/// that of the call.
+fn lookup_failed(res: &mut Response, failure: Failure, outcome: Outcome) {
+    let (status, retry_after) = failure_status(failure);
+    error_response(res, status, &failure.to_string(), outcome, retry_after);
+}
+
+fn failure_status(failure: Failure) -> (StatusCode, Option<Duration>) {
+    match failure {
         Failure::Overloaded { retry_after } => (StatusCode::TOO_MANY_REQUESTS, Some(retry_after)),
         Failure::DeadlineBeforeStart { retry_after } => {
             (StatusCode::SERVICE_UNAVAILABLE, Some(retry_after))
@@ -411,6 +438,5 @@
             StatusCode::SERVICE_UNAVAILABLE,
             Some(Duration::from_secs(1)),
         ),
-    };
-    error_response(res, status, &failure.to_string(), outcome, retry_after);
+    }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,6 +10,7 @@
 use http::Request;
 use http::StatusCode;
 use hyper::body::Frame;
+use metrics::counter;
 use tokio::time::Instant;
 use wisteriawick_core::gateway::AttemptOutcome;
 use wisteriawick_core::gateway::EventSplitter;
@@ -19,6 +20,7 @@
 use wisteriawick_core::gateway::SequenceChecker;
 use wisteriawick_core::gateway::StreamFault;
 use wisteriawick_core::ids::RunnerId;
+use wisteriawick_core::response_status::promises_not_run;
 use wisteriawick_platform::ResponseHead;
 use wisteriawick_platform::caller_response_headers;
 use wisteriawick_platform::runner_request_headers;
@@ -34,6 +36,7 @@
 use crate::gateway::upstream::ConnectError;
 use crate::gateway::upstream::SendError;
 use crate::gateway::upstream::Upstream;
+use crate::telemetry;
 
 /// Time without a first event after which a stream is retried at another runner,
 /// before its caller disconnects.
@@ -359,7 +362,7 @@
     slot.response_begun(exchange.deadline);
     let (parts, body) = res.into_parts();
     let head = ResponseHead::new(parts.status, &parts.headers);
-    if !is_for_request(&head, exchange, &upstream) {
+    if !is_for_request(&head, exchange, &slot.runner().id, &upstream) {
         // A response to another request; this request's may never arrive here.
         slot.set_outcome(RunnerOutcome::Failed);
         let detail = "the response is for another request";
@@ -368,7 +371,8 @@
     if !head.is_misdirected {
         slot.observe(sent_at, &head);
     }
-    if head.is_not_executed {
+    let runner = &slot.runner().id;
+    if head.proves_not_run(runner) {
         let outcome = match head.rest {
             _ if head.is_misdirected => RunnerOutcome::Replaced,
             RestNotice::For(_) => RunnerOutcome::Rests,
@@ -385,6 +389,9 @@
             "the response is not signed",
         ));
     }
+    if promises_not_run(head.status.as_u16()) {
+        return Err(unproven_refusal(slot, &head));
+    }
     let headers = caller_response_headers(&parts.headers);
     if exchange.route_match.route.is_streaming && head.status.is_success() {
         let stream = start_stream(slot, upstream, head, headers, body, last_event).await?;
@@ -399,16 +406,35 @@
     }
 }
 
+/// Returns the failure for a response whose status promises that the request was not
+/// executed while nothing proves it. The response itself is dropped: the caller would
+/// believe the status, and no other status may carry the runner's signature.
+fn unproven_refusal(slot: &mut RunnerSlot, head: &ResponseHead) -> FailedAttempt {
+    slot.set_outcome(match head.is_misdirected {
+        true => RunnerOutcome::Replaced,
+        false => RunnerOutcome::ErrorResponse,
+    });
+    let status = head.status.as_u16();
+    counter!(telemetry::UNPROVEN_REFUSALS, "status" => status.to_string()).increment(1);
+    let detail = format!("status {status} without proof that the request was not executed");
+    FailedAttempt::new(AttemptOutcome::Failed, detail)
+}
+
 /// Returns whether a response belongs to the request that was sent.
 ///
 /// A faulty runner may write a response once more. On a connection that carried other
 /// requests only the identifier tells them apart; a refused request leaves no connection
 /// behind, so its identifier cannot come again. A refusal on a new connection may lack the
 /// identifier: nothing could have been written there for another request.
-fn is_for_request(head: &ResponseHead, exchange: &Exchange, upstream: &Upstream) -> bool {
+fn is_for_request(
+    head: &ResponseHead,
+    exchange: &Exchange,
+    runner: &RunnerId,
+    upstream: &Upstream,
+) -> bool {
     match head.request_id.as_deref() {
         Some(id) => id == exchange.caller.id,
-        None => head.is_not_executed && !upstream.is_reused(),
+        None => head.proves_not_run(runner) && !upstream.is_reused(),
     }
 }
 
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -37,6 +37,9 @@
 pub const REFUSED: &str = "wisteriawick_refused_requests_total";
 /// Attempts at runners without a response to relay, by outcome.
 pub const FAILED_ATTEMPTS: &str = "wisteriawick_failed_attempts_total";
+/// Responses of runners whose status promises that the request was not executed, without a
+/// proof, by status.
+pub const UNPROVEN_REFUSALS: &str = "wisteriawick_unproven_refusals_total";
 /// Streams resumed on another runner.
 pub const RESUMED_STREAMS: &str = "wisteriawick_resumed_streams_total";
 /// Streams that became late, by cause: the first event or a gap between events.
