Agents bound the memory of all responses that they buffer

An agent of fleets of our own did the same: with 100 calls at such an endpoint it grew to 200 to 726 MB. Entries of the users' platform have a budget for responses and didn't (14 MB more at most).

Cause: each response had a bound of 8 MiB, and all of them together had none. Besides, framing without content, and interim responses, were read until the deadline, and each part of an event was searched from the event's start.

Evidence: peak memory by the place of the endless bytes. Heads and trailers cost nothing, bodies cost all that they send.

Change: buffers above 16 KiB share 24 MiB; a response without room in 2 s fails with an unknown outcome. A declared length over the bound is refused at once. Heads and framing are bounded as at entries, by the same code, and a connection that is given up is closed at once.

The other tests of endless bytes got the places that they lacked and passed before.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -10,6 +10,7 @@
 mod endpoint;
 mod gate_task;
 pub mod maps;
+mod response_room;
 mod stream_handler;
 
 use std::net::SocketAddr;
--- a/src/agent/attempt.rs
+++ b/src/agent/attempt.rs
@@ -11,10 +11,7 @@
 use bytes::BytesMut;
 use http::Request;
 use http::Response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
-use hyper::body::Incoming;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::gate::Offer;
 use wisteriawick_core::ids::AttemptId;
@@ -22,10 +19,15 @@
 
 use crate::agent::Endpoint;
 use crate::agent::endpoint::CallError;
+use crate::agent::endpoint::READ_BUFFER_BYTES;
 use crate::agent::gate_task::EndedAttempt;
 use crate::agent::gate_task::GateHandle;
 use crate::agent::gate_task::OfferedAttempt;
 use crate::agent::gate_task::Verdict;
+use crate::agent::response_room::BufferError;
+use crate::agent::response_room::ReadError;
+use crate::agent::response_room::ResponseRoom;
+use crate::gateway::response_body::ResponseBody;
 use crate::link::AcceptedLink;
 use crate::link::AttemptWire;
 use crate::link::FrameWriter;
@@ -74,6 +76,18 @@
     Aborted,
 }
 
+impl From<ReadError> for EndpointResult {
+    fn from(error: ReadError) -> Self {
+        match error {
+            // The lack of room says nothing about this attempt's response.
+            ReadError::Buffer(BufferError::NoRoom) => Self::Failed(error.to_string()),
+            ReadError::Buffer(BufferError::TooLarge(_)) | ReadError::Body(_) => {
+                Self::Died(error.to_string())
+            }
+        }
+    }
+}
+
 /// Runs an attempt and writes the reply to the entry.
 pub(crate) async fn run(
     node: &Arc<Node>,
@@ -165,9 +179,9 @@
         Err(e @ CallError::NotFinal(_)) => return EndpointResult::Failed(e.to_string()),
     };
     let result = if wire.stream && res.status().is_success() {
-        relay_events(res, wire.resume_from, tx).await
+        relay_events(res, endpoint.room(), wire.resume_from, tx).await
     } else {
-        read_response(res).await
+        read_response(res, endpoint.room()).await
     };
     if matches!(
         result,
@@ -210,7 +224,7 @@
     }
 }
 
-async fn read_response(res: Response<Incoming>) -> EndpointResult {
+async fn read_response(res: Response<ResponseBody>, room: &ResponseRoom) -> EndpointResult {
     let status = res.status().as_u16();
     let content_type = res
         .headers()
@@ -218,22 +232,20 @@
         .and_then(|value| value.to_str().ok())
         .unwrap_or_default()
         .to_string();
-    let body = Limited::new(res.into_body(), MAX_RESPONSE_BYTES)
-        .collect()
-        .await;
-    match body {
+    match room.read(res.into_body(), MAX_RESPONSE_BYTES).await {
         Ok(body) => EndpointResult::Response(Reply::Response {
             status,
             content_type,
-            body: body.to_bytes(),
+            body,
         }),
-        Err(e) => EndpointResult::Died(e.to_string()),
+        Err(e) => e.into(),
     }
 }
 
 /// Relays the events of a stream as they arrive, possibly several in a frame.
 async fn relay_events(
-    res: Response<Incoming>,
+    res: Response<ResponseBody>,
+    room: &ResponseRoom,
     resume_from: u64,
     tx: &mut FrameWriter,
 ) -> EndpointResult {
@@ -241,7 +253,8 @@
         return EndpointResult::Aborted;
     }
     let mut body = res.into_body();
-    let mut buf = BytesMut::new();
+    let mut buf = room.buffer(MAX_EVENT_BYTES + READ_BUFFER_BYTES);
+    let mut searched = 0;
     let mut position = resume_from;
     let stopped = tx.stopped();
     tokio::pin!(stopped);
@@ -255,8 +268,11 @@
             Some(Err(e)) => return EndpointResult::Died(e.to_string()),
             None => return EndpointResult::Died("the stream has no end".into()),
         };
-        buf.extend_from_slice(&data);
-        let (events, done) = split_events(&mut buf);
+        if let Err(e) = buf.push(&data).await {
+            return ReadError::from(e).into();
+        }
+        let buf = buf.bytes_mut();
+        let (events, done) = split_events(buf, &mut searched);
         if !events.is_empty() {
             let count = events.len() as u64;
             if tx.write(&Reply::Events(position, events)).await.is_err() {
@@ -278,27 +294,43 @@
 
 /// Reads what follows the last event, so that the connection can be reused. Returns
 /// whether the body ends within [`REST_TIMEOUT`] and [`MAX_REST_BYTES`].
-async fn ends_soon(body: Incoming) -> bool {
-    let rest = Limited::new(body, MAX_REST_BYTES).collect();
-    matches!(tokio::time::timeout(REST_TIMEOUT, rest).await, Ok(Ok(_)))
+async fn ends_soon(mut body: ResponseBody) -> bool {
+    let rest = async {
+        let mut length = 0;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return false };
+            length += frame.data_ref().map_or(0, Bytes::len);
+            if length > MAX_REST_BYTES {
+                return false;
+            }
+        }
+        true
+    };
+    tokio::time::timeout(REST_TIMEOUT, rest).await == Ok(true)
 }
 
 /// Removes the complete events from the buffer and returns them, and whether the
 /// event that ends the stream was among them; that event itself is not returned.
-fn split_events(buf: &mut BytesMut) -> (Vec<Bytes>, bool) {
+/// `searched` is the number of bytes that are known to contain no end of an event.
+fn split_events(buf: &mut BytesMut, searched: &mut usize) -> (Vec<Bytes>, bool) {
     let mut events = Vec::new();
-    while let Some(at) = find_boundary(buf) {
+    while let Some(at) = find_boundary(buf, *searched) {
+        *searched = 0;
         let event = buf.split_to(at + 2).freeze();
         if event.starts_with(DONE_EVENT) {
             return (events, true);
         }
         events.push(event);
     }
+    // The last byte may begin the end of the event.
+    *searched = buf.len().saturating_sub(1);
     (events, false)
 }
 
-fn find_boundary(buf: &[u8]) -> Option<usize> {
-    buf.windows(2).position(|pair| pair == b"\n\n")
+/// Returns where the event at the start of the buffer ends, at `from` or later.
+fn find_boundary(buf: &[u8], from: usize) -> Option<usize> {
+    let at = buf[from..].windows(2).position(|pair| pair == b"\n\n")?;
+    Some(from + at)
 }
 
 #[cfg(test)]
@@ -342,10 +374,11 @@
         let stream = b"data: a\n\ndata: b\n\ndata: [DONE]\n\n";
         for cut in 0..stream.len() {
             let mut buf = BytesMut::from(&stream[..cut]);
-            let (mut events, mut done) = split_events(&mut buf);
+            let mut searched = 0;
+            let (mut events, mut done) = split_events(&mut buf, &mut searched);
             buf.extend_from_slice(&stream[cut..]);
             if !done {
-                let (rest, rest_done) = split_events(&mut buf);
+                let (rest, rest_done) = split_events(&mut buf, &mut searched);
                 events.extend(rest);
                 done = rest_done;
             }
@@ -357,7 +390,7 @@
     #[test]
     fn stream_with_a_partial_end_event_is_not_done() {
         let mut buf = BytesMut::from(&b"data: a\n\ndata: [DO"[..]);
-        let (events, done) = split_events(&mut buf);
+        let (events, done) = split_events(&mut buf, &mut 0);
         assert_eq!(events.len(), 1);
         assert!(!done);
     }
--- a/src/agent/endpoint.rs
+++ b/src/agent/endpoint.rs
@@ -12,20 +12,26 @@
 use http::Request;
 use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use wisteriawick_core::response_status::is_final;
 
 use crate::agent::gate_task::GateHandle;
+use crate::agent::response_room::ResponseRoom;
+use crate::gateway::received::CountedStream;
+use crate::gateway::received::ReceivedBytes;
+use crate::gateway::response_body::ResponseBody;
 
 /// Most idle connections that are kept for reuse.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 /// Size of a connection's read buffer, and largest head of a response, in bytes.
-const READ_BUFFER_BYTES: usize = 64 * 1024;
+pub(crate) const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Most bytes up to the end of the head of a response, with interim responses before it.
+const MAX_HEAD_BYTES: u64 = 2 * READ_BUFFER_BYTES as u64;
 /// Longest time to connect to the endpoint, which runs on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two health probes.
@@ -61,7 +67,55 @@
 #[derive(Clone, Debug)]
 pub struct Endpoint {
     address: SocketAddr,
-    idle: Arc<Mutex<Vec<SendRequest<Body>>>>,
+    idle: Arc<Mutex<Vec<Connection>>>,
+    room: ResponseRoom,
+}
+
+/// A connection to the endpoint, which closes when this is dropped.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Body>,
+    task: AbortHandle,
+    received: Arc<ReceivedBytes>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// Returns the request with the error if nothing of it was written.
+    async fn send(
+        &mut self,
+        req: Request<Body>,
+    ) -> Result<Response<ResponseBody>, (CallError, Option<Request<Body>>)> {
+        let end = self.received.count() + MAX_HEAD_BYTES;
+        let result = tokio::select! {
+            biased;
+            result = self.sender.try_send_request(req) => result,
+            () = self.received.exceed(end) => {
+                let message = format!("no head of a response within {MAX_HEAD_BYTES} bytes");
+                return Err((CallError::ConnectionLost(message), None));
+            }
+        };
+        let received = &self.received;
+        match result {
+            Ok(res) => Ok(res.map(|body| ResponseBody::new(body, Arc::clone(received)))),
+            Err(mut e) => {
+                let message = e.error().to_string();
+                Err(match e.take_message() {
+                    Some(unsent) => (CallError::NotSent(message), Some(unsent)),
+                    None => (CallError::ConnectionLost(message), None),
+                })
+            }
+        }
+    }
 }
 
 impl Endpoint {
@@ -70,6 +124,7 @@
         Self {
             address,
             idle: Arc::default(),
+            room: ResponseRoom::default(),
         }
     }
 
@@ -80,7 +135,7 @@
     pub(crate) async fn call(
         &self,
         req: Request<Body>,
-    ) -> Result<(Response<Incoming>, Lease), CallError> {
+    ) -> Result<(Response<ResponseBody>, Lease), CallError> {
         let (res, lease) = self.send(req).await?;
         match is_final(res.status().as_u16()) {
             true => Ok((res, lease)),
@@ -88,28 +143,22 @@
         }
     }
 
-    async fn send(&self, mut req: Request<Body>) -> Result<(Response<Incoming>, Lease), CallError> {
-        while let Some(mut sender) = self.take_idle() {
-            match sender.try_send_request(req).await {
-                Ok(res) => return Ok((res, Lease(sender))),
-                Err(mut e) => match e.take_message() {
-                    // The idle connection was closed before anything was written.
-                    Some(unsent) => req = unsent,
-                    None => return Err(CallError::ConnectionLost(e.error().to_string())),
-                },
+    async fn send(
+        &self,
+        mut req: Request<Body>,
+    ) -> Result<(Response<ResponseBody>, Lease), CallError> {
+        while let Some(mut connection) = self.take_idle() {
+            match connection.send(req).await {
+                Ok(res) => return Ok((res, Lease(connection))),
+                // The idle connection was closed before anything was written.
+                Err((_, Some(unsent))) => req = unsent,
+                Err((e, None)) => return Err(e),
             }
         }
-        let mut sender = self.connect().await?;
-        match sender.try_send_request(req).await {
-            Ok(res) => Ok((res, Lease(sender))),
-            Err(mut e) => {
-                let unsent = e.take_message().is_some();
-                let message = e.error().to_string();
-                Err(match unsent {
-                    true => CallError::NotSent(message),
-                    false => CallError::ConnectionLost(message),
-                })
-            }
+        let mut connection = self.connect().await?;
+        match connection.send(req).await {
+            Ok(res) => Ok((res, Lease(connection))),
+            Err((e, _)) => Err(e),
         }
     }
 
@@ -121,17 +170,17 @@
         }
     }
 
-    fn take_idle(&self) -> Option<SendRequest<Body>> {
+    fn take_idle(&self) -> Option<Connection> {
         let mut idle = self.idle.lock().expect("no holder panics");
-        while let Some(sender) = idle.pop() {
-            if sender.is_ready() {
-                return Some(sender);
+        while let Some(connection) = idle.pop() {
+            if connection.sender.is_ready() {
+                return Some(connection);
             }
         }
         None
     }
 
-    async fn connect(&self) -> Result<SendRequest<Body>, CallError> {
+    async fn connect(&self) -> Result<Connection, CallError> {
         let not_sent = |message: String| CallError::NotSent(message);
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
             .await
@@ -140,16 +189,22 @@
         stream
             .set_nodelay(true)
             .map_err(|e| not_sent(e.to_string()))?;
+        let received = Arc::new(ReceivedBytes::default());
+        let stream = CountedStream::new(stream, Arc::clone(&received));
         let (sender, connection) = hyper::client::conn::http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| not_sent(e.to_string()))?;
         // The sender's calls report an error of the connection, so it is ignored here.
-        tokio::spawn(async move {
+        let task = tokio::spawn(async move {
             let _ = connection.await;
         });
-        Ok(sender)
+        Ok(Connection {
+            sender,
+            task: task.abort_handle(),
+            received,
+        })
     }
 
     /// Returns whether the endpoint responds after it closed a connection.
@@ -167,15 +222,20 @@
             .header(http::header::HOST, self.address.to_string())
             .body(Body::default())
             .expect("the parts of the request are valid");
-        let Ok(mut sender) = self.connect().await else {
+        let Ok(mut connection) = self.connect().await else {
             return false;
         };
         matches!(
-            timeout(PROBE_TIMEOUT, sender.send_request(req)).await,
+            timeout(PROBE_TIMEOUT, connection.send(req)).await,
             Ok(Ok(res)) if is_final(res.status().as_u16()) && !res.status().is_server_error()
         )
     }
 
+    /// Returns the room for responses that are buffered.
+    pub(crate) fn room(&self) -> &ResponseRoom {
+        &self.room
+    }
+
     /// Returns the endpoint's address.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -184,7 +244,7 @@
 
 /// A connection that is in use by a call.
 #[derive(Debug)]
-pub(crate) struct Lease(SendRequest<Body>);
+pub(crate) struct Lease(Connection);
 
 /// Probes the endpoint's health at regular intervals and reports it to the gate.
 pub(crate) async fn probe(endpoint: Endpoint, gate: GateHandle, cx: CancellationToken) {
--- a/src/agent/maps/engine.rs
+++ b/src/agent/maps/engine.rs
@@ -7,9 +7,7 @@
 use http::Method;
 use http::Request;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
@@ -95,11 +93,8 @@
             .ok()?;
         let (res, lease) = self.endpoint.call(req).await.ok()?;
         let status = res.status();
-        let body = Limited::new(res.into_body(), MAX_RESPONSE_BYTES)
-            .collect()
-            .await
-            .ok()?
-            .to_bytes();
+        let room = self.endpoint.room();
+        let body = room.read(res.into_body(), MAX_RESPONSE_BYTES).await.ok()?;
         self.endpoint.recycle(lease);
         Some((status, body))
     }
--- a/src/gateway/response_body.rs
+++ b/src/gateway/response_body.rs
@@ -92,7 +92,7 @@
     }
 
     /// Returns the length that the head declares.
-    fn declared_length(&self) -> Option<usize> {
+    pub(crate) fn declared_length(&self) -> Option<usize> {
         let length = self.incoming.size_hint().exact()?;
         Some(usize::try_from(length).unwrap_or(usize::MAX))
     }
--- a/tests/endless_memory.rs
+++ b/tests/endless_memory.rs
@@ -156,6 +156,13 @@
     println!("healthy runners: {plain} kB, with streams {stream} kB");
     let base = plain.min(stream);
     let cases = [
+        (EndlessBytes::NoResponse, "/once/"),
+        (EndlessBytes::EmptyLines, "/once/"),
+        (EndlessBytes::StatusLine, "/once/"),
+        (EndlessBytes::InformationalHeaders, "/once/"),
+        (EndlessBytes::TinyChunks, "/once/"),
+        (EndlessBytes::TrailerLine, "/once/"),
+        (EndlessBytes::TrailerLines, "/once/"),
         (EndlessBytes::HeaderLine, "/once/"),
         (EndlessBytes::HeaderLines, "/once/"),
         (EndlessBytes::InformationalResponses, "/once/"),
--- a/tests/support/endless.rs
+++ b/tests/support/endless.rs
@@ -15,8 +15,22 @@
 const DRIP_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Responses without an end: what comes first, and what is repeated.
-pub const ENDLESS_RESPONSES: [(&str, &str); 7] = [
+pub const ENDLESS_RESPONSES: [(&str, &str); 15] = [
     ("", ""),
+    ("", "x"),
+    ("", "\r\n"),
+    ("HTTP/1.1 200 ", "x"),
+    ("HTTP/1.1 103 Early Hints\r\n", "Filler: x\r\n"),
+    ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"),
+    (
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nFiller: ",
+        "x",
+    ),
+    (
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        "Filler: x\r\n",
+    ),
+    ("HTTP/1.1 200 OK\r\n\r\n", "x"),
     ("HTTP/1.1 200 OK\r\nFiller: ", "x"),
     ("HTTP/1.1 200 OK\r\n", "Filler: x\r\n"),
     ("", "HTTP/1.1 103 Early Hints\r\n\r\n"),
