--- a/crates/core/src/gateway/crash_tracker.rs
+++ b/crates/core/src/gateway/crash_tracker.rs
@@ -9,16 +9,16 @@
 //! An attempt whose connection broke is evidence only if its runner crashed: it
 //! refuses connections, has restarted or is no longer listed. Until that is known,
 //! two such attempts block their request for seconds. A suspect is blocked once two
-//! runners have crashed under it, or one has twice, for a time that grows with each further
-//! crash. A runner may start again under the same identifier, so its crashes are told apart
-//! by its starts. Sound
-//! requests run beside those that crash a runner, so the crash counts against a suspect
-//! only if no stronger one explains it. One that runners had executed before needs more
-//! crashes, one that nearly all requests have is tried again sooner, and a part that is
-//! always in the same requests as other suspects blocks only those that have them all. If
-//! the same request crashed all runners, its content explains as much as its parts; then
-//! one other request with the parts is tried, and all processes hold back the rest until
-//! its result is known. A response that is no server error clears all that its request has.
+//! runners have crashed under it, or one has twice, for a time that grows with each
+//! further crash. A runner may start again under the same identifier, so its crashes
+//! are told apart by its starts. Sound requests run beside those that crash a runner,
+//! so the crash counts against a suspect only if no stronger one explains it. One that
+//! runners had executed before needs more crashes, one that nearly all requests have is
+//! tried again sooner, and a part that is always in the same requests as other suspects
+//! blocks only those that have them all. If the same request crashed all runners, its
+//! content explains as much as its parts; then one other request with the parts is
+//! tried, and all processes hold back the rest until its result is known. A response
+//! that is no server error clears all that its request has.
 
 use std::cmp::Reverse;
 use std::collections::VecDeque;
--- a/crates/core/src/ledger/snapshot.rs
+++ b/crates/core/src/ledger/snapshot.rs
@@ -11,6 +11,7 @@
 use crate::ids::Term;
 use crate::ledger::ClaimId;
 use crate::ledger::KeyDigest;
+use crate::response_status::is_final;
 use crate::response_status::promises_not_run;
 
 /// Upper estimate of the bytes that a stored record takes without a response body.
@@ -41,11 +42,11 @@
     }
 
     /// Returns whether the request ran, as far as the endpoint's response shows. A status
-    /// that promises the contrary proves neither.
+    /// that promises the contrary, or that no response has, proves neither.
     pub fn outcome(&self) -> Outcome {
-        match promises_not_run(self.status) {
-            true => Outcome::Unknown,
-            false => Outcome::Ran,
+        match is_final(self.status) && !promises_not_run(self.status) {
+            true => Outcome::Ran,
+            false => Outcome::Unknown,
         }
     }
 }
--- a/src/entry/http_api.rs
+++ b/src/entry/http_api.rs
@@ -27,6 +27,7 @@
 use wisteriawick_core::ledger::CallKey;
 use wisteriawick_core::ledger::LedgerReply;
 use wisteriawick_core::ledger::RecordedResponse;
+use wisteriawick_core::response_status::is_final;
 use wisteriawick_core::response_status::promises_not_run;
 
 use crate::entry::EntryContext;
@@ -395,9 +396,10 @@
 }
 
 /// Returns the status of a response to a call. One that promises that the call did not run
-/// stands only where that is proven.
+/// stands only where that is proven, and one that no final response has never does.
 fn proven_status(status: StatusCode, outcome: Outcome) -> StatusCode {
-    match outcome != Outcome::NotRun && promises_not_run(status.as_u16()) {
+    let is_unproven = outcome != Outcome::NotRun && promises_not_run(status.as_u16());
+    match is_unproven || !is_final(status.as_u16()) {
         true => StatusCode::BAD_GATEWAY,
         false => status,
     }
