--- a/review/common-3/kit.rs
+++ b/review/common-3/kit.rs
@@ -1,4 +1,4 @@
-//! Stand-ins and helpers of the scripts in `review/11` to `review/15`: the platform's store,
+//! Stand-ins and helpers of the scripts in `review/11` to `review/14`: the platform's store,
 //! runners, a client, and the processes under test. Only the standard library is used.
 #![allow(dead_code)]
 
@@ -32,6 +32,20 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+/// Names of the users' platform, and what stands for them in the texts here.
+const NAMES: &str = include_str!("names.txt");
+
+/// Returns a text with the platform's names in it.
+pub fn wire(text: &str) -> String {
+    let pairs = NAMES.lines().filter_map(|line| line.split_once(' '));
+    pairs.fold(text.to_string(), |text, (stands, name)| text.replace(stands, name))
+}
+
+/// Returns the value of a header that the platform names.
+fn platform_header(head: &Head, stands: &str) -> Option<String> {
+    head.header(&wire(stands).to_ascii_lowercase()).map(str::to_string)
+}
+
 /// Exit codes of a script.
 pub const HELD: i32 = 0;
 pub const BROKEN: i32 = 1;
@@ -47,6 +61,22 @@
     since.unwrap_or_default().as_millis() as u64
 }
 
+/// Process ids of the processes under test that run now.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// Longest time of a script, so that it ends by itself within 120 s.
+const MAX_TIME: Duration = Duration::from_secs(110);
+
+/// Ends the processes under test and the script itself if it takes too long.
+fn bound_time() {
+    thread::spawn(|| {
+        thread::sleep(MAX_TIME);
+        for pid in RUNNING.lock().unwrap().iter() {
+            let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).status();
+        }
+        std::process::exit(NOT_RUN);
+    });
+}
+
 pub fn sleep_ms(ms: u64) {
     thread::sleep(Duration::from_millis(ms));
 }
@@ -59,7 +89,9 @@
 }
 
 impl Record {
+    /// Begins the record, and with it the time that the script may take.
     pub fn create(path: &Path) -> io::Result<Self> {
+        bound_time();
         Ok(Self {
             file: Arc::new(Mutex::new(File::create(path)?)),
             start: Instant::now(),
@@ -296,8 +328,9 @@
             door.largest_answer
                 .fetch_max(body.len() as u64, Ordering::SeqCst);
             let answer = format!(
-                "HTTP/1.1 {status} X\r\nStore-Era: 1\r\nContent-Type: application/json\r\n\
+                "HTTP/1.1 {status} X\r\n{}: 1\r\nContent-Type: application/json\r\n\
                  Content-Length: {}\r\n\r\n{body}",
+                wire("%era%"),
                 body.len()
             );
             if stream.write_all(answer.as_bytes()).is_err() {
@@ -329,7 +362,7 @@
                 let wait = parameter(query, "wait_ms").and_then(|text| text.parse().ok());
                 self.watch(door, kind, after, wait.unwrap_or(0))
             }
-            None => (200, self.page(kind, parameter(query, "watch_revision"))),
+            None => (200, self.page(kind, parameter(query, &wire("%after%")))),
         }
     }
 
@@ -464,14 +497,14 @@
             return;
         }
         let text = |name: &str| head.header(name).unwrap_or_default().to_string();
-        let attempt = text("attempt-id");
-        let target = head.header("target-instance");
+        let attempt = platform_header(&head, "%id%").unwrap_or_default();
+        let target = platform_header(&head, "%runner%");
         let answer = if target.is_some_and(|target| target != id) {
             format!("HTTP/1.1 421 X\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n")
         } else if head.first.contains(" /healthz ") {
             format!("HTTP/1.1 200 OK\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n")
         } else if attempt.is_empty() {
-            "HTTP/1.1 400 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".to_string()
+            wire("HTTP/1.1 400 X\r\n%unrun%: 1\r\nContent-Length: 0\r\n\r\n")
         } else {
             runs.0.lock().unwrap().push(Run {
                 id: attempt.clone(),
@@ -482,11 +515,11 @@
             });
             sleep_ms(10);
             let body = format!("done {attempt}\n");
-            format!(
-                "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: {id}.{attempt}\r\n\
+            wire(&format!(
+                "HTTP/1.1 200 OK\r\n%id%: {attempt}\r\n%seal%: {id}.{attempt}\r\n\
                  Keep-Alive: timeout=5\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
-            )
+            ))
         };
         if stream.write_all(answer.as_bytes()).is_err() {
             return;
@@ -534,7 +567,7 @@
 
 static NEXT_ATTEMPT: AtomicU64 = AtomicU64::new(1);
 
-/// Returns a new `Attempt-Id`.
+/// Returns a new identifier of an attempt.
 pub fn attempt_id() -> String {
     format!("a{:015x}", NEXT_ATTEMPT.fetch_add(1, Ordering::SeqCst))
 }
@@ -553,18 +586,18 @@
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(Duration::from_millis(3_500)))?;
     let text = format!(
-        "{line} HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 3000\r\n\
+        "{line} HTTP/1.1\r\nHost: desk.example\r\n%id%: {id}\r\nDeadline-Ms: 3000\r\n\
          Authorization: Bearer {key}\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     );
-    stream.write_all(text.as_bytes())?;
+    stream.write_all(wire(&text).as_bytes())?;
     let mut reader = BufReader::new(stream);
     let head = read_head(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
     read_body(&mut reader, &head)?;
     let status = head.first.split(' ').nth(1).and_then(|text| text.parse().ok());
     Ok(Answer {
         status,
-        is_sealed: head.header("response-seal").is_some(),
+        is_sealed: platform_header(&head, "%seal%").is_some(),
     })
 }
 
@@ -653,6 +686,7 @@
             .stdout(log)
             .stderr(errors)
             .spawn()?;
+        RUNNING.lock().unwrap().push(child.id());
         self.child = Some(child);
         Ok(())
     }
@@ -662,6 +696,7 @@
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            RUNNING.lock().unwrap().retain(|pid| *pid != child.id());
         }
     }
 
@@ -722,7 +757,7 @@
 /// A route of a configuration.
 pub struct Route {
     pub prefix: String,
-    pub route_type: &'static str,
+    pub kind: &'static str,
     pub service: &'static str,
     pub timeout_ms: u64,
 }
@@ -732,14 +767,14 @@
 pub fn configuration(version: u64, routes: &[Route], keys: &[&str]) -> String {
     let route = |(n, route): (usize, &Route)| {
         format!(
-            "{{\"name\":\"r-{n}\",\"host\":\"desk.example\",\"path_prefix\":\"{}\",\
-             \"route_type\":\"{}\",\"timeout_ms\":{},\"target_latency_ms\":300,\"priority\":1,\
+            "{{\"name\":\"r-{n}\",\"host\":\"desk.example\",\"%prefix%\":\"{}\",\
+             \"%kind%\":\"{}\",\"timeout_ms\":{},\"target_latency_ms\":300,\"priority\":1,\
              \"service\":\"{}\",\"max_attempts\":{},\"anonymous\":false}}",
             route.prefix,
-            route.route_type,
+            route.kind,
             route.timeout_ms,
             route.service,
-            if route.route_type == "idempotent" { 2 } else { 1 }
+            if route.kind == "idempotent" { 2 } else { 1 }
         )
     };
     let routes: Vec<String> = routes.iter().enumerate().map(route).collect();
@@ -750,7 +785,7 @@
         )
     };
     let keys: Vec<String> = keys.iter().map(|key| quote(key)).collect();
-    format!(
+    wire(&format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{},{}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
@@ -759,5 +794,5 @@
         service("old-desk"),
         service("new-desk"),
         keys.join(",")
-    )
+    ))
 }
