--- a/review/common-3/kit.rs
+++ b/review/common-3/kit.rs
@@ -1,4 +1,4 @@
-//! Stand-ins and helpers of the scripts in `review/11` to `review/14`: the platform's store,
+//! Stand-ins and helpers of the scripts in `review/11` to `review/15`: the platform's store,
 //! runners, a client, and the processes under test. Only the standard library is used.
 #![allow(dead_code)]
 
@@ -545,19 +545,34 @@
 }
 
 impl Store {
-    /// Takes a heartbeat: the entry's content is new, and no watch reports it, since nothing
-    /// but `sequence` has changed.
+    /// Takes a heartbeat. No watch reports it if nothing but `sequence` has changed.
     fn beat(&self, kind: &str, name: &str, spec: &str) {
-        let mut objects = self.objects.0.lock().unwrap();
-        let key = (kind.to_string(), name.to_string());
-        if let Some(object) = objects.by_key.get_mut(&key) {
-            if let Some(at) = object.find("\"spec\":") {
-                object.replace_range(at.., &format!("\"spec\":{spec},\"status\":null}}"));
+        let is_same = {
+            let mut objects = self.objects.0.lock().unwrap();
+            let key = (kind.to_string(), name.to_string());
+            let Some(object) = objects.by_key.get_mut(&key) else { return };
+            let at = object.find("\"spec\":").unwrap_or(object.len());
+            let next = format!("\"spec\":{spec},\"status\":null}}");
+            let is_same = without_sequence(&object[at..]) == without_sequence(&next);
+            if is_same {
+                object.replace_range(at.., &next);
             }
+            is_same
+        };
+        if !is_same {
+            self.put(kind, name, spec);
         }
     }
 }
 
+/// Returns what stands before and after the value of `sequence`.
+fn without_sequence(text: &str) -> (&str, Option<&str>) {
+    match text.split_once("\"sequence\":") {
+        Some((before, after)) => (before, Some(after.trim_start_matches(char::is_numeric))),
+        None => (text, None),
+    }
+}
+
 /// What a client got for a request.
 pub struct Answer {
     /// `None` if the connection ended without a complete answer.
